Rest no server for broken connections alone, which show at all alike

Symptom: from 10 s on only a quarter of the requests are in time and most of the rest fail; tries per request rise to 2.3 while attempts per request fall to 1.3, so most tries fail without any attempt. 30 to 75 attempts per 5 s end in a reset, from the first seconds on, with about 1,000 connections opened to servers.

Evidence, from a capture of loopback during a play: of some 200 requests a second at the first tier, 130 got 502 with no attempt written. The logs say "every server it may use is too crowded, rests or is cold". Some 250 resets came from the backends' side: right after the accept, at the request, in the midst of it and just after a 200, at every server, each on a connection that was in order. No more than 8 in 100 attempts met one.

Ruled out: stale kept connections (no FIN or idle time precedes the resets, and fresh connections meet them too); our own bytes on a busy connection (each request follows a whole answer); one sick server (all have their share); the proxy's CPU (3 to 5 s in 25 s).

Cause: Logic.judge counted each broken connection as a failure, and two in a row rested the server for 3 s, doubled at each further one up to 48 s. Resets that strike all servers alike so rested all of the few of the first tier, and calls waited for a server until their time was up.

Now a break demotes, as before, and a server rests once a connect to it fails too. One that breaks far more connections than the others rests as one that errs, which judgeErrors decides by comparison.

--- a/src/main/java/passhatch/Logic.java
+++ b/src/main/java/passhatch/Logic.java
@@ -732,8 +732,9 @@
     }
 
     /**
-     * Rests a server that errs far more than the others: answering at once, it always looks idle and draws
-     * ever more calls. Errors that all show alike come from a tier below and rest none.
+     * Rests a server that errs far more than the others, or breaks their connections: answering at once, it
+     * always looks idle and draws ever more calls. Errors that all show alike come from a tier below and rest
+     * none.
      */
     private void judgeErrors(long nowUs, Backend s, boolean error) {
         s.errors += ERROR_WEIGHT * ((error ? 1 : 0) - s.errors);
@@ -743,14 +744,19 @@
         } else if (s.errors > ERRORS && s.errors > 2 * errors && mostStay(nowUs)) {
             s.restUntilUs = nowUs + (FAIL_TIMEOUT_US << Math.min(s.errorRests++, MOST_DOUBLINGS));
             s.errors = ERRORS;
-            say(nowUs, s.id, " rests: it answers with errors far more often than others");
+            say(nowUs, s.id, " rests: it errs or breaks connections far more often than others");
         }
     }
 
-    /** Keeps the tally of failures: only a connection that fails or breaks counts. */
+    /**
+     * Keeps the tally of failures. A connection that breaks had come up, so the server may well be alive: it
+     * is demoted, but rests only once a connect to it fails too. Where a server breaks far more of them than
+     * the others do, it rests as one that errs: breaks that all show alike come from the way there, and were
+     * they to rest servers, none would be left.
+     */
     private void judge(long nowUs, Backend s, Outcome outcome) {
-        if (outcome == Outcome.OK || outcome == Outcome.ERROR) {
-            judgeErrors(nowUs, s, outcome == Outcome.ERROR);
+        if (outcome == Outcome.OK || outcome == Outcome.ERROR || outcome == Outcome.RESET) {
+            judgeErrors(nowUs, s, outcome != Outcome.OK);
         }
         boolean failed = outcome == Outcome.CONNECT_FAILED;
         cut += ERROR_WEIGHT * ((failed ? 1 : 0) - cut);
@@ -762,10 +768,10 @@
         } else if (outcome == Outcome.CONNECT_FAILED || outcome == Outcome.RESET) {
             s.failures++;
             s.demotedUntilUs = nowUs + FAIL_TIMEOUT_US;
-            if (s.failures >= MAX_FAILS) {
+            if (failed && s.failures >= MAX_FAILS) {
                 int doublings = Math.min(s.failures - MAX_FAILS, MOST_DOUBLINGS);
                 s.restUntilUs = nowUs + (FAIL_TIMEOUT_US << doublings);
-                say(nowUs, s.id, " rests: connections to it fail or break");
+                say(nowUs, s.id, " rests: connections to it fail");
             }
         }
     }
