Start proxies from a class archive: servers err while their proxy loads classes

Symptom: service falls to 63% and 55% in time from 10 s to 20 s, during a release of the servers and the restart of the balancers that follows it; 28% fail and attempts per request fall to 2.0 and 1.8. Restarts take 2.9 to 3.7 s.

The proxy of a new one listens 3.0 s after its start and says it is ready after 3.6 s, having used its half core throughout (its most in a second is 0.50 of 0.5). In that time the new server is listed as serving and answers 500 within some 55 ms, without a call arriving at its proxy. The balancers take it to be an erring server and rest it for 3 s, so that from 10 to 13 s a single warm server gets nearly all calls and two thirds of the requests at the first tier end with 502 and no attempt.

Ruled out: the erring is no fault of the module's (resting a server that errs is right, and errors stop once its proxy is up); discovery (the list came 0.5 s after it was asked, of 3.6 s); cold servers (one whose proxy was up at its first call got its due share).

Cause: the run command starts a JVM that reads, verifies and links all classes from the shaded jar: 0.87 s of CPU to listen, on half a core. A missing or stale archive is passed over by the JVM and costs only the time.

--- a/src/main/java/passhatch/adapter/Main.java
+++ b/src/main/java/passhatch/adapter/Main.java
@@ -8,14 +8,16 @@
 import java.io.OutputStream;
 import java.io.PrintStream;
 import passhatch.proxy.ProxyServer;
+import passhatch.proxy.Rehearsal;
 
 /** The command line. */
 public final class Main {
 
-    private static final String USAGE = "usage: java -jar passhatch.jar adapter|serve\n"
+    private static final String USAGE = "usage: java -jar passhatch.jar adapter|serve|rehearse\n"
             + "  adapter  decides for the instances named on standard input, one batch a line;\n"
             + "           replies go to standard output\n"
-            + "  serve    runs one proxy on real sockets, as the PROXY_ variables say";
+            + "  serve    runs one proxy on real sockets, as the PROXY_ variables say\n"
+            + "  rehearse plays a proxy's start on loopback, for an archive of the classes it needs";
 
     private Main() { }
 
@@ -31,7 +33,10 @@
 
     static int run(String[] args, InputStream in, OutputStream out, PrintStream err) {
         if (args.length == 1 && args[0].equals("serve")) {
-            return serve(err);
+            return untilInterrupted(() -> ProxyServer.serve(System.getenv(), err));
+        }
+        if (args.length == 1 && args[0].equals("rehearse")) {
+            return untilInterrupted(() -> Rehearsal.run(err));
         }
         if (args.length != 1 || !args[0].equals("adapter")) {
             err.println(USAGE);
@@ -48,9 +53,14 @@
         return 1;
     }
 
-    private static int serve(PrintStream err) {
+    /** A command that waits. */
+    private interface Waiting {
+        int run() throws InterruptedException;
+    }
+
+    private static int untilInterrupted(Waiting command) {
         try {
-            return ProxyServer.serve(System.getenv(), err);
+            return command.run();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             return 1;
--- /dev/null
+++ b/src/main/java/passhatch/proxy/Rehearsal.java
@@ -0,0 +1,117 @@
+package passhatch.proxy;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.PrintStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import passhatch.Logic;
+
+/**
+ * A short life of a proxy, played on loopback when the program is built: the JVM notes the classes that it
+ * loads and archives them for the real starts. A proxy has a part of a core, and loading, checking and
+ * linking some thousand classes from the jar would keep its backend waiting for seconds.
+ */
+public final class Rehearsal {
+
+    private static final int TIMEOUT_MS = 10_000;
+    /** Requests passed on: enough to use a kept connection too. */
+    private static final int REQUESTS = 3;
+
+    private static final String SETTINGS = """
+            {"categories":[{"name":"c","effect":"pure","group":"all","goalTimeUs":9000000,
+             "deadlineUs":9000000,"worth":1}],"tenants":[{"name":"t","quotaPerS":0,"share":1}],
+             "dcs":["z"],"machineTypes":["m"],"balancers":1,"discovery":"on_request",
+             "limits":{"maxAttempts":3,"cancel":true,"maxStreams":1,"keepaliveUs":9000000,
+             "connectTimeoutUs":9000000},"rules":{"drainGraceUs":2000000,"coldFrom":0.5,
+             "coldUs":1000000,"tipMultiple":2,"overloadForUs":1000000,"askEveryUs":9000000}}""";
+
+    private Rehearsal() { }
+
+    /** Plays it; what cannot be played is said and costs only the archive. */
+    public static int run(PrintStream err) throws InterruptedException {
+        HangUpSignal.onEach(() -> { });
+        try (ServerSocket others = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+            Path config = Files.createTempFile("rehearsal", ".json");
+            try {
+                String here = "127.0.0.1:" + others.getLocalPort();
+                String list = """
+                        {"index":1,"snapshot":true,"endpoints":[{"name":"s","address":"%s","zone":"z",\
+                        "type":"m","group":0,"status":"SERVING","weight":1,"since_ms":0}]}
+                        """.formatted(here);
+                Files.writeString(config, "{\"seed\":\"1\",\"limits\":{\"sockets\":256},\"known\":" + list
+                        + ",\"settings\":" + SETTINGS + "}");
+                Thread stub = new Thread(() -> serve(others, list), "others");
+                stub.setDaemon(true);
+                stub.start();
+                ProxyServer proxy = ProxyServer.start(ProxyConfig.read(Map.of("PROXY_NAME", "n",
+                        "PROXY_LISTEN", "127.0.0.1:0", "PROXY_DISCOVERY", here, "PROXY_CONFIG",
+                        config.toString())), new EventLog(err), Logic::new);
+                for (int i = 0; i < REQUESTS; i++) {
+                    call(proxy.address(), i);
+                }
+                proxy.stopNow();
+                return proxy.awaitEnd(TIMEOUT_MS) ? 0 : 1;
+            } finally {
+                Files.delete(config);
+            }
+        } catch (IOException | ProxyConfig.BadConfig bad) {
+            err.println("passhatch: rehearsal: " + bad.getMessage());
+            return 1;
+        }
+    }
+
+    private static void call(InetSocketAddress proxy, int number) throws IOException {
+        try (Socket client = new Socket(proxy.getAddress(), proxy.getPort())) {
+            client.setSoTimeout(TIMEOUT_MS);
+            client.getOutputStream().write(("GET /c/x HTTP/1.1\r\nHost: p\r\nX-Request-Id: r" + number
+                    + "\r\nX-Tenant: t\r\nX-Deadline: 9000m\r\nX-Cost-Hint: 9\r\n\r\n")
+                    .getBytes(StandardCharsets.US_ASCII));
+            String status = new BufferedReader(new InputStreamReader(client.getInputStream(),
+                    StandardCharsets.US_ASCII)).readLine();
+            if (status == null || !status.contains(" 200 ")) {
+                throw new IOException("a request was answered with " + status);
+            }
+        }
+    }
+
+    /** Stands in for discovery and for a backend: each connection has a thread, and all end with the JVM. */
+    private static void serve(ServerSocket listener, String list) {
+        while (true) {
+            try {
+                Socket peer = listener.accept();
+                Thread thread = new Thread(() -> answer(peer, list), "peer");
+                thread.setDaemon(true);
+                thread.start();
+            } catch (IOException closed) {
+                return;
+            }
+        }
+    }
+
+    private static void answer(Socket peer, String list) {
+        try (peer; BufferedReader in = new BufferedReader(new InputStreamReader(peer.getInputStream(),
+                StandardCharsets.US_ASCII))) {
+            for (String start = in.readLine(); start != null; start = in.readLine()) {
+                for (String header = in.readLine(); header != null && !header.isEmpty();) {
+                    header = in.readLine();
+                }
+                String body = start.contains("/v1/endpoints") ? list : "ok";
+                String answer = start.contains("watch=1")
+                        ? "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                            + Integer.toHexString(body.length()) + "\r\n" + body + "\r\n"
+                        : "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+                peer.getOutputStream().write(answer.getBytes(StandardCharsets.US_ASCII));
+            }
+        } catch (IOException ended) {
+            // The proxy has closed the connection; there is nothing left to answer.
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/passhatch/proxy/RehearsalTest.java
@@ -0,0 +1,76 @@
+package passhatch.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The short life of a proxy whose classes are archived when the program is built. */
+@Timeout(60)
+final class RehearsalTest {
+
+    @TempDir
+    Path folder;
+
+    @Test
+    void servesItsRequestsAndEnds() throws Exception {
+        ByteArrayOutputStream said = new ByteArrayOutputStream();
+        assertEquals(0, Rehearsal.run(new PrintStream(said, true, StandardCharsets.UTF_8)),
+                () -> said.toString(StandardCharsets.UTF_8));
+    }
+
+    /** A proxy that starts from the classes of the jar takes twice the time in which its backend errs. */
+    @Test
+    void theArchiveThatTheProxyStartsFromIsMadeByTheBuild() throws IOException {
+        List<String> lines = Files.readAllLines(Path.of("deploy/balancer.toml"));
+        String build = lines.stream().filter(l -> l.startsWith("build = ")).findFirst().orElseThrow();
+        String run = lines.stream().filter(l -> l.startsWith("run = ")).findFirst().orElseThrow();
+        String option = "-XX:SharedArchiveFile=";
+        assertTrue(run.contains(option), run);
+        String archive = run.substring(run.indexOf(option) + option.length()).split(" ")[0];
+        assertTrue(build.contains("-XX:ArchiveClassesAtExit=" + archive + " "), build);
+    }
+
+    /** The archive holds what a start needs: with it no class of the proxy's is read from elsewhere. */
+    @Test
+    void theArchiveOfTheCommandHoldsTheNetworkCodeAndTheModule() throws Exception {
+        Path jar = folder.resolve("passhatch.jar");
+        Process pack = new ProcessBuilder(tool("jar"), "--create", "--file", jar.toString(), "-C",
+                "target/classes", ".").inheritIO().start();
+        assertTrue(pack.waitFor(Http.PATIENCE_MS, TimeUnit.MILLISECONDS));
+        String classes = jar + System.getProperty("path.separator") + System.getProperty("java.class.path");
+        Path archive = folder.resolve("classes.jsa");
+        Process rehearsal = new ProcessBuilder(tool("java"), "-XX:ArchiveClassesAtExit=" + archive,
+                "-Xlog:class+load:file=" + folder.resolve("loaded"), "-cp", jars(classes),
+                "passhatch.adapter.Main", "rehearse").inheritIO().start();
+        assertTrue(rehearsal.waitFor(Http.PATIENCE_MS, TimeUnit.MILLISECONDS));
+        assertEquals(0, rehearsal.exitValue());
+        assertTrue(Files.size(archive) > 0);
+        String loaded = Files.readString(folder.resolve("loaded"));
+        for (String name : List.of("Logic", "proxy.ProxyLoop", "proxy.BackendPool", "proxy.ClientServer",
+                "proxy.Discovery", "proxy.HangUpSignal")) {
+            assertTrue(loaded.contains(" passhatch." + name + " "), name + " is not loaded in it");
+        }
+    }
+
+    private static String tool(String name) {
+        return Path.of(System.getProperty("java.home"), "bin", name).toString();
+    }
+
+    /** An archive takes classes from jars alone. */
+    private static String jars(String path) {
+        return String.join(System.getProperty("path.separator"),
+                List.of(path.split(System.getProperty("path.separator"))).stream()
+                        .filter(p -> p.endsWith(".jar")).toList());
+    }
+}
