Module: operators take servers out by hand and put them back

takeOut, putBack, isOut, knows and census are inputs of Balancer, tested without sockets. Bans are kept by id beside the list, so no list, restart or change of address ends one. A server that is back counts as just started and what was learnt of its former process is forgotten. Not taken: hiding the server from the lists the module is told.

--- a/src/main/java/passhatch/Backend.java
+++ b/src/main/java/passhatch/Backend.java
@@ -9,6 +9,10 @@
     int group;
     int model;
     long startedAtUs;
+    /** Since when it counts as just started: its start, or its return after it was taken out by hand. */
+    long coldSinceUs;
+    /** Taken out by hand. */
+    boolean out;
     /** The latest list has it in use. */
     boolean up;
     /** It stands among the servers that calls may go to. */
@@ -52,6 +56,27 @@
         this.place = id.hashCode() * 0x9E3779B1;
     }
 
+    /** Whether calls may go there at all now. */
+    boolean inUse(long nowUs) {
+        return !out && restUntilUs <= nowUs && entryAtUs <= nowUs;
+    }
+
+    /** Forgets what was learnt of the process that ran here before, and takes it as just started. */
+    void renew(long nowUs) {
+        coldSinceUs = nowUs;
+        failures = 0;
+        errors = 0;
+        errorRests = 0;
+        silences = 0;
+        unanswered = 0;
+        demotedUntilUs = Long.MIN_VALUE;
+        restUntilUs = Long.MIN_VALUE;
+        reportUntilUs = Long.MIN_VALUE;
+        tookUs = 0;
+        ahead = 0;
+        callSeenUs = Long.MIN_VALUE;
+    }
+
     /** Time that a call takes here for each call in flight; 0 while unknown. */
     double callUs() {
         return ahead > 0 ? tookUs / ahead : 0;
--- a/src/main/java/passhatch/Balancer.java
+++ b/src/main/java/passhatch/Balancer.java
@@ -279,4 +279,32 @@
 
     /** A time asked for by {@link Actions#wakeAt} has come. */
     void timer(long nowUs);
+
+    // ---- what operators ask for
+
+    /** Whether any list ever named the server, or it was taken out. */
+    boolean knows(String server);
+
+    /**
+     * Takes a server out by hand: from now on nothing is sent there, whatever lists say of it, until
+     * {@link #putBack}. What is out there runs on. A server not known yet may be named, too.
+     */
+    void takeOut(long nowUs, String server);
+
+    /** Ends that, however often it was asked for; the server counts as one that has just started. */
+    void putBack(long nowUs, String server);
+
+    /** Whether the server is taken out by hand. */
+    boolean isOut(String server);
+
+    /** How many servers there are. */
+    Census census(long nowUs);
+
+    /**
+     * Servers, counted.
+     *
+     * @param listed those in the list, draining ones too
+     * @param avoided of these, the ones that get nothing now: out by hand, resting, or draining
+     */
+    record Census(int listed, int avoided) { }
 }
--- a/src/main/java/passhatch/Logic.java
+++ b/src/main/java/passhatch/Logic.java
@@ -4,9 +4,13 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Set;
 import java.util.SplittableRandom;
 
 /**
@@ -100,6 +104,8 @@
     private static final int LEAST_TOLD = 24;
     /** At most one line for the operator in this time: trouble comes in crowds. */
     private static final long SAY_AGAIN_US = 10_000_000;
+    /** Servers remembered as once listed; ever new ones come, and what nobody forgets grows for good. */
+    private static final int MOST_NAMED = 4096;
     /** Weight of the newest value in a running mean. */
     private static final double MEAN_WEIGHT = 0.1;
 
@@ -111,6 +117,11 @@
     private final SplittableRandom random;
     private final Map<String, Backend> byId = new HashMap<>();
     private final List<Backend> servers = new ArrayList<>();
+    /** All that the latest list names, and all that lists ever named, the earliest named first. */
+    private final Set<String> inList = new HashSet<>();
+    private final Set<String> named = new LinkedHashSet<>();
+    /** Servers taken out by hand. They are kept beside the list, so that no list brings one back. */
+    private final Set<String> out = new HashSet<>();
     private final Map<String, Call> calls = new HashMap<>();
     /** Calls for which no server may be used now, oldest first. */
     private final ArrayDeque<Call> waiting = new ArrayDeque<>();
@@ -188,8 +199,10 @@
             for (Backend s : servers) {
                 s.up = false;
             }
+            inList.clear();
         }
         for (Server line : list) {
+            name(line);
             learn(nowUs, line);
         }
         servers.forEach(s -> s.listed = s.up);
@@ -207,6 +220,22 @@
         advance(nowUs);
     }
 
+    private void name(Server line) {
+        if (line.status() == ServerStatus.GONE) {
+            inList.remove(line.id());
+        } else {
+            inList.add(line.id());
+        }
+        named.add(line.id());
+        Iterator<String> earliest = named.iterator();
+        while (named.size() > MOST_NAMED + inList.size() + out.size()) {
+            String id = earliest.next();
+            if (!inList.contains(id) && !out.contains(id)) {
+                earliest.remove();
+            }
+        }
+    }
+
     private void learn(long nowUs, Server line) {
         Backend s = byId.get(line.id());
         if (line.status() != ServerStatus.UP) {
@@ -224,6 +253,8 @@
             servers.remove(s);
             s = new Backend(line.id());
             s.startedAtUs = line.startedAtUs();
+            s.coldSinceUs = s.startedAtUs;
+            s.out = out.contains(s.id);
             s.zone = line.zone();
             s.turnAtUs = farness(s) > 0 ? nowUs + (long) (random.nextDouble() * paceUs(nowUs) * farness(s))
                     : Long.MIN_VALUE + random.nextLong(1L << 32);
@@ -284,14 +315,14 @@
     private long fitAtUs(Backend s, double part) {
         Rules rules = settings.rules();
         double needed = Math.min(1, part / (rules.tipMultiple() * COLD_MARGIN)) - rules.coldFrom();
-        return s.startedAtUs + (long) (Math.max(0, needed) / (1 - rules.coldFrom()) * rules.coldUs());
+        return s.coldSinceUs + (long) (Math.max(0, needed) / (1 - rules.coldFrom()) * rules.coldUs());
     }
 
     /** The share of its capacity that a server can be trusted to have by now. */
     private double share(Backend s, long nowUs) {
         Rules rules = settings.rules();
-        long age = nowUs - s.startedAtUs;
-        if (s.startedAtUs <= 0 || age >= rules.coldUs()) {
+        long age = nowUs - s.coldSinceUs;
+        if (s.coldSinceUs <= 0 || age >= rules.coldUs()) {
             return 1;
         }
         return rules.coldFrom() + (1 - rules.coldFrom()) * Math.max(0, age) / rules.coldUs();
@@ -554,7 +585,7 @@
     }
 
     private static boolean open(long nowUs, Call call, Backend s) {
-        return s.restUntilUs <= nowUs && s.entryAtUs <= nowUs && mayUse(call, s);
+        return s.inUse(nowUs) && mayUse(call, s);
     }
 
     /**
@@ -674,7 +705,9 @@
         attempt.out = false;
         attempt.server.inFlight--;
         call.out--;
-        if (attempt.server.draining) {
+        if (attempt.server.out) {
+            actions.closeIdle(attempt.server.id);
+        } else if (attempt.server.draining) {
             closeIdle(attempt.server.id);
         }
         judge(nowUs, attempt.server, outcome);
@@ -837,6 +870,57 @@
         }
     }
 
+    // ---- servers out by hand
+
+    @Override
+    public boolean knows(String server) {
+        return named.contains(server) || out.contains(server);
+    }
+
+    @Override
+    public void takeOut(long nowUs, String server) {
+        if (out.add(server)) {
+            Backend s = byId.get(server);
+            if (s != null) {
+                s.out = true;
+            }
+            // It may be restarted now: what is kept open to it would be found dead by the first calls after.
+            actions.closeIdle(server);
+            actions.log(server + " is out by hand");
+        }
+    }
+
+    @Override
+    public void putBack(long nowUs, String server) {
+        if (!out.remove(server)) {
+            return;
+        }
+        actions.log(server + " is back by hand");
+        Backend s = byId.get(server);
+        if (s != null) {
+            s.out = false;
+            s.renew(nowUs);
+            if (s.listed) {
+                enter(nowUs, s);
+            }
+            advance(nowUs);
+        }
+    }
+
+    @Override
+    public boolean isOut(String server) {
+        return out.contains(server);
+    }
+
+    @Override
+    public Census census(long nowUs) {
+        int open = 0;
+        for (Backend s : servers) {
+            open += s.out || s.restUntilUs > nowUs ? 0 : 1;
+        }
+        return new Census(inList.size(), inList.size() - open);
+    }
+
     // ---- servers that do not answer
 
     /**
@@ -878,7 +962,7 @@
     private boolean mostStay(long nowUs) {
         int inUse = 0;
         for (Backend s : servers) {
-            inUse += s.restUntilUs <= nowUs && s.entryAtUs <= nowUs ? 1 : 0;
+            inUse += s.inUse(nowUs) ? 1 : 0;
         }
         return (inUse - 1) * 2 >= servers.size();
     }
--- a/src/test/java/passhatch/LogicTest.java
+++ b/src/test/java/passhatch/LogicTest.java
@@ -1321,4 +1321,170 @@
         assertThrows(IllegalArgumentException.class, () -> new Logic(null, 1, null));
         assertFalse(new Proxy(setup()).did("anything"));
     }
+
+    /** Servers that operators take out. */
+    @Nested
+    class OutByHand {
+
+        @Test
+        void getsNothingFromThenOn() {
+            Proxy p = new Proxy(setup()).with("a", "b");
+            p.logic.takeOut(p.now, "a");
+            assertTrue(p.logic.isOut("a"));
+            for (int i = 0; i < 6; i++) {
+                assertEquals("b", p.at(p.request(Proxy.SAFE)));
+            }
+        }
+
+        /** Changes, whole lists, a new start: a list never ends what was done by hand. */
+        @Test
+        void staysOutWhateverListsSay() {
+            Proxy p = new Proxy(setup()).with("a", "b");
+            p.logic.takeOut(p.now, "a");
+            p.change("a", 0, ServerStatus.GONE);
+            p.change("a", p.now, ServerStatus.UP);
+            assertEquals("b", p.serve());
+            p.logic.serversChanged(p.now, ListKind.WHOLE, List.of(
+                    new Server("a", p.now - 1, 0, 0, ServerStatus.UP),
+                    new Server("b", 0, 0, 0, ServerStatus.UP)));
+            p.pass(20_000);
+            for (int i = 0; i < 6; i++) {
+                assertEquals("b", p.serve());
+            }
+        }
+
+        @Test
+        void waitingCallsAndRepeatsGoElsewhere() {
+            Proxy p = new Proxy(setup()).with("a", "b");
+            String call = p.request(Proxy.SAFE);
+            String other = p.at(call).equals("a") ? "b" : "a";
+            p.logic.takeOut(p.now, other);
+            p.end(call, Outcome.CONNECT_FAILED);
+            assertEquals(1, p.attempts.get(call), "no server is left that it may use");
+        }
+
+        @Test
+        void whereAllAreOutCallsWaitUntilOneIsBack() {
+            Proxy.Setup neverCold = setup();
+            neverCold.coldFrom = 1;
+            Proxy p = new Proxy(neverCold).with("a", "b");
+            p.logic.takeOut(p.now, "a");
+            p.logic.takeOut(p.now, "b");
+            String call = p.request(Proxy.SAFE);
+            p.pass(100);
+            assertNull(p.at(call));
+            p.logic.putBack(p.now, "b");
+            p.pass(100);
+            assertEquals("b", p.at(call));
+        }
+
+        @Test
+        void whereAllStayOutCallsAreEnded() {
+            Proxy p = new Proxy(setup()).with("a");
+            p.logic.takeOut(p.now, "a");
+            String call = p.request(Proxy.SAFE);
+            p.pass(2_000);
+            assertNull(p.at(call));
+            assertEquals(1, p.count("refuse " + call) + p.count("fail " + call));
+        }
+
+        /** It was taken out, and most likely restarted: it bears a cold server's share only. */
+        @Test
+        void oneCallBackEndsItAndTheServerCountsAsJustStarted() {
+            Proxy.Setup cold = setup();
+            cold.coldFrom = 0.1;
+            Proxy p = new Proxy(cold).with("a", "b", "c");
+            for (int i = 0; i < 30; i++) {
+                p.serve();
+            }
+            p.logic.takeOut(p.now, "a");
+            p.logic.takeOut(p.now, "a");
+            p.logic.putBack(p.now, "a");
+            assertFalse(p.logic.isOut("a"));
+            int early = 0;
+            for (int i = 0; i < 30; i++) {
+                early += p.serve().equals("a") ? 1 : 0;
+            }
+            assertTrue(early > 0 && early < 8, "a cold server got " + early + " of 30 calls");
+            p.pass(8_000);
+            int warm = 0;
+            for (int i = 0; i < 30; i++) {
+                warm += p.serve().equals("a") ? 1 : 0;
+            }
+            assertTrue(warm >= 9, "a warm server got " + warm + " of 30 calls");
+        }
+
+        /** Failures of the process that was taken out say nothing of the one that is back. */
+        @Test
+        void isNotLeftToRestAfterItsReturn() {
+            Proxy p = new Proxy(setup()).with("a", "b");
+            for (int i = 0; i < 4; i++) {
+                String call = p.request(Proxy.SAFE);
+                if (p.at(call).equals("a")) {
+                    p.end(call, Outcome.CONNECT_FAILED);
+                }
+                if (p.at(call).equals("b")) {
+                    p.end(call, Outcome.OK);
+                }
+                p.pass(10);
+            }
+            p.logic.takeOut(p.now, "a");
+            p.logic.putBack(p.now, "a");
+            Set<String> used = new HashSet<>();
+            for (int i = 0; i < 10; i++) {
+                used.add(p.serve());
+            }
+            assertEquals(Set.of("a", "b"), used);
+        }
+
+        @Test
+        void idleConnectionsToItAreClosedAtOnceAndAfterItsLastCalls() {
+            Proxy p = new Proxy(setup()).with("a");
+            String call = p.request(Proxy.SAFE);
+            p.logic.takeOut(p.now, "a");
+            assertEquals(1, p.count("close a"));
+            p.end(call, Outcome.OK);
+            assertEquals(2, p.count("close a"));
+        }
+
+        @Test
+        void isKnownOnceListedAndCounted() {
+            Proxy p = new Proxy(setup()).with("a", "b", "c");
+            assertFalse(p.logic.knows("z"));
+            p.change("d", 0, ServerStatus.DRAINING);
+            p.change("c", 0, ServerStatus.GONE);
+            assertTrue(p.logic.knows("c"), "it was listed once");
+            assertEquals(new Balancer.Census(3, 1), p.logic.census(p.now));
+            p.logic.takeOut(p.now, "a");
+            p.logic.takeOut(p.now, "c");
+            assertEquals(new Balancer.Census(3, 2), p.logic.census(p.now));
+            p.logic.putBack(p.now, "a");
+            assertEquals(new Balancer.Census(3, 1), p.logic.census(p.now));
+        }
+
+        /** A successor takes bans over before it has heard of the servers. */
+        @Test
+        void mayBeNamedBeforeItIsListed() {
+            Proxy p = new Proxy(setup()).with("b");
+            p.logic.takeOut(p.now, "a");
+            assertTrue(p.logic.knows("a"));
+            p.change("a", 0, ServerStatus.UP);
+            p.pass(20_000);
+            assertEquals("b", p.serve());
+            assertEquals("b", p.serve());
+        }
+
+        /** Ever new servers come. */
+        @Test
+        void namesOfServersLongGoneAreForgottenInTheEnd() {
+            Proxy p = new Proxy(setup()).with("a");
+            for (int i = 0; i < 5_000; i++) {
+                p.change("s" + i, 0, ServerStatus.UP);
+                p.change("s" + i, 0, ServerStatus.GONE);
+            }
+            assertTrue(p.logic.knows("a"));
+            assertTrue(p.logic.knows("s4999"));
+            assertFalse(p.logic.knows("s0"));
+        }
+    }
 }
