--- a/src/main/java/passhatch/proxy/Answer.java
+++ b/src/main/java/passhatch/proxy/Answer.java
@@ -28,6 +28,13 @@
         return new Answer(HttpResponseStatus.BAD_GATEWAY, null, NO_BODY);
     }
 
+    /** What it counts as. */
+    Figures.End end() {
+        return status.equals(HttpResponseStatus.OK) ? Figures.End.SUCCESS
+                : status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE) ? Figures.End.OVERLOAD
+                : Figures.End.ERROR;
+    }
+
     static Answer of(HttpResponseStatus status) {
         return new Answer(status, null, NO_BODY);
     }
--- a/src/main/java/passhatch/proxy/BackendPool.java
+++ b/src/main/java/passhatch/proxy/BackendPool.java
@@ -76,10 +76,11 @@
      *
      * @param message makes the message, when it can be written
      * @param wanted asked just before it is written: false where it must not be sent any more
+     * @param written called once its last byte is written
      * @param timeout how it ends when its time is up after it was written
      */
-    record Outgoing(Supplier<FullHttpRequest> message, BooleanSupplier wanted, long timeoutUs,
-            Outcome timeout) { }
+    record Outgoing(Supplier<FullHttpRequest> message, BooleanSupplier wanted, Runnable written,
+            long timeoutUs, Outcome timeout) { }
 
     private final EventLoop loop;
     private final Clock clock;
@@ -286,6 +287,7 @@
                 channel.writeAndFlush(toWrite.outgoing.message().get()).addListener(done -> {
                     if (done.isSuccess()) {
                         toWrite.written = true;
+                        toWrite.outgoing.written().run();
                     } else {
                         channel.close();
                     }
--- a/src/main/java/passhatch/proxy/ClientConnection.java
+++ b/src/main/java/passhatch/proxy/ClientConnection.java
@@ -104,14 +104,14 @@
      * Ends a connection whose first request does not come, or on which one does not come to an end. Its time
      * runs from the start, however often a few bytes come.
      */
-    void endIfStalled(long nowUs, long mostUs, long mostIdleUs) {
+    void endIfStalled(long nowUs, long mostUs, long mostUnaskedUs, long mostIdleUs) {
         if (partSinceUs > 0) {
             long sinceUs = hasAsked() || !turns.isEmpty() ? partSinceUs : connectedUs;
             if (nowUs - sinceUs > mostUs) {
                 server.say("a request did not come to an end");
                 turnDown(HttpResponseStatus.REQUEST_TIMEOUT);
             }
-        } else if (isIdle() && nowUs - idleSinceUs() > (hasAsked() ? mostIdleUs : mostUs)) {
+        } else if (isIdle() && nowUs - idleSinceUs() > (hasAsked() ? mostIdleUs : mostUnaskedUs)) {
             close();
         }
     }
@@ -238,7 +238,7 @@
             Turn turn = turns.poll();
             server.budget().release(turn.reserved);
             // Only the last of those that are open may end the connection.
-            write(turn.answer, turn.keepAlive && !(server.isDraining() && turns.isEmpty()));
+            write(turn.answer, turn.keepAlive && !(server.answersEndConnections() && turns.isEmpty()));
         }
         readOn();
     }
--- a/src/main/java/passhatch/proxy/ClientServer.java
+++ b/src/main/java/passhatch/proxy/ClientServer.java
@@ -26,6 +26,8 @@
     private static final long MOST_STALL_US = 2_600_000;
     /** A connection that is kept but not used is closed after this long. */
     private static final long MOST_IDLE_US = 15_000_000;
+    /** While this proxy is drained, a new connection is closed that asks nothing for this long. */
+    private static final long DRAINED_UNASKED_US = 500_000;
     /** And sooner where others need its place, but not before this. */
     private static final long KEEP_US = 2_000_000;
     /** The first bytes come within this time of connecting where the client has something to ask. */
@@ -42,11 +44,10 @@
     private final ProxyLoop proxy;
     private final int mostOpen;
     private final BodyBudget budget;
+    private final DrainState drain;
     /** In the order of connecting. */
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
     private Channel listener;
-    private boolean leaving;
-    private boolean draining;
     private long nextBeatUs;
     private long heldUpUs;
 
@@ -56,7 +57,7 @@
      * @param mostOpen connections held at a time; an idle one is closed for one more
      */
     ClientServer(EventLoop loop, Clock clock, EventLog log, RequestParser parser, ProxyLoop proxy,
-            int mostOpen, BodyBudget budget) {
+            int mostOpen, BodyBudget budget, DrainState drain) {
         this.loop = loop;
         this.clock = clock;
         this.log = log;
@@ -64,6 +65,7 @@
         this.proxy = proxy;
         this.mostOpen = mostOpen;
         this.budget = budget;
+        this.drain = drain;
         this.nextBeatUs = clock.nowUs();
         beat();
         sweep();
@@ -89,17 +91,6 @@
         return (InetSocketAddress) listener.localAddress();
     }
 
-    /** From now on this proxy says that it is not ready; what comes all the same is served. */
-    void leave() {
-        leaving = true;
-    }
-
-    /** Closes connections on which nothing is out, and each other one with its next answer, which says so. */
-    void drain() {
-        draining = true;
-        closeIdle();
-    }
-
     /** Takes no more connections; those open are served on. */
     void stopListening() {
         listener.close();
@@ -190,7 +181,10 @@
 
     private void sweep() {
         long now = clock.nowUs();
-        List.copyOf(connections).forEach(c -> c.endIfStalled(now, MOST_STALL_US, MOST_IDLE_US));
+        boolean closing = drain.closesIdle();
+        long mostUnaskedUs = closing ? DRAINED_UNASKED_US : MOST_STALL_US;
+        long mostIdleUs = closing ? 0 : MOST_IDLE_US;
+        List.copyOf(connections).forEach(c -> c.endIfStalled(now, MOST_STALL_US, mostUnaskedUs, mostIdleUs));
         makeRoom();
         loop.schedule(this::sweep, SWEEP_US, TimeUnit.MICROSECONDS);
     }
@@ -210,11 +204,12 @@
     }
 
     boolean isReady() {
-        return proxy.ready() && !leaving;
+        return proxy.ready() && drain.takesClients();
     }
 
-    boolean isDraining() {
-        return draining;
+    /** Whether the last answer that a connection owes ends it. */
+    boolean answersEndConnections() {
+        return drain.answersEndConnections();
     }
 
     long nowUs() {
--- a/src/main/java/passhatch/proxy/EventLog.java
+++ b/src/main/java/passhatch/proxy/EventLog.java
@@ -17,7 +17,7 @@
     private static final long WINDOW_NS = TimeUnit.SECONDS.toNanos(10);
 
     /** What others can bring about as often as they like. */
-    enum Kind { REQUEST, CLIENT, EVICTION, ATTEMPT, BACKEND, DISCOVERY, MODULE }
+    enum Kind { REQUEST, CLIENT, EVICTION, ATTEMPT, BACKEND, DISCOVERY, MODULE, CONSOLE }
 
     /** The lines of one kind. */
     private static final class Window {
--- a/src/main/java/passhatch/proxy/ProxyConfig.java
+++ b/src/main/java/passhatch/proxy/ProxyConfig.java
@@ -24,10 +24,12 @@
  * @param connectTimeoutUs a connection that takes longer counts as not to be had
  * @param sockets file descriptors this process may hold
  * @param known the list as this proxy last had it
+ * @param console the operators' address, or null where there is none
  */
 record ProxyConfig(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed,
         Settings settings, List<String> classes, List<String> tenants, List<String> zones,
-        List<String> models, long connectTimeoutUs, int sockets, EndpointList known) {
+        List<String> models, long connectTimeoutUs, int sockets, EndpointList known,
+        InetSocketAddress console) {
 
     private static final long DEFAULT_CONNECT_TIMEOUT_US = 250_000;
     private static final int DEFAULT_SOCKETS = 1024;
@@ -79,7 +81,19 @@
         return new ProxyConfig(name, listen, discovery, seed(file.get("seed")), settings,
                 names(params, "categories"), names(params, "tenants"), zones, models,
                 ms instanceof Number n ? n.longValue() : DEFAULT_CONNECT_TIMEOUT_US,
-                limits.get("sockets") instanceof Number n ? n.intValue() : DEFAULT_SOCKETS, known);
+                limits.get("sockets") instanceof Number n ? n.intValue() : DEFAULT_SOCKETS, known,
+                console(env, file));
+    }
+
+    /** The variable comes before the file, as with the other addresses. */
+    private static InetSocketAddress console(Map<String, String> env, Map<String, Object> file)
+            throws BadConfig {
+        String told = env.get("PROXY_CONSOLE");
+        if (told != null && !told.isBlank()) {
+            return address("PROXY_CONSOLE", told);
+        }
+        Object inFile = file.get("console");
+        return inFile == null ? null : address("config: console", String.valueOf(inFile));
     }
 
     /** The address of a text like 10.0.0.4:5000; names are not looked up, as there is no DNS. */
--- a/src/main/java/passhatch/proxy/ProxyLoop.java
+++ b/src/main/java/passhatch/proxy/ProxyLoop.java
@@ -74,6 +74,7 @@
     private final BackendPool pool;
     private final Discovery discovery;
     private final Balancer balancer;
+    private final Figures figures;
     private final int maxAttempts;
     private final Map<String, Exchange> exchanges = new HashMap<>();
     private final Map<String, Backend> backends = new HashMap<>();
@@ -93,6 +94,7 @@
         this.log = log;
         this.pool = pool;
         this.maxAttempts = config.settings().limits().maxAttempts();
+        this.figures = new Figures(config.classes());
         this.discovery = new Discovery(loop, log, config, this);
         this.balancer = module.create(config.settings(), config.seed(), this);
         remember(config.known());
@@ -106,6 +108,27 @@
         return listed;
     }
 
+    /** The figures as of now. */
+    String counters() {
+        return figures.text(unanswered, balancer.census(clock.nowUs()));
+    }
+
+    /** Whether a list ever named the backend. */
+    boolean knows(String backend) {
+        return balancer.knows(backend);
+    }
+
+    /** Takes a backend out by hand, or back. */
+    void setOut(String backend, boolean out) {
+        tell(null, () -> {
+            if (out) {
+                balancer.takeOut(clock.nowUs(), backend);
+            } else {
+                balancer.putBack(clock.nowUs(), backend);
+            }
+        });
+    }
+
     /** Calls back when no request is unanswered, at once where none is. */
     void whenIdle(Runnable then) {
         onIdle = then;
@@ -299,12 +322,16 @@
         }
         long untilUs = now + waitUs;
         // Guards against a connection that comes up late: one to a backend that was told to drain, or that
-        // has gone, in the meantime is sent nothing.
+        // has gone or was taken out, in the meantime is sent nothing.
         attempt.handle = sendTo(backend, new Outgoing(() -> message(e.request, untilUs),
-                () -> !e.answered && backend.up, waitUs, Outcome.TIMEOUT),
+                () -> !e.answered && mayGet(backend), figures::dispatched, waitUs, Outcome.TIMEOUT),
                 result -> attemptEnded(e, attempt, result));
     }
 
+    private boolean mayGet(Backend backend) {
+        return backend.up && !balancer.isOut(backend.target.id());
+    }
+
     private FullHttpRequest message(ProxyRequest request, long untilUs) {
         FullHttpRequest message = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, request.method(),
                 request.uri(), Unpooled.wrappedBuffer(request.body()));
@@ -360,7 +387,7 @@
             return;
         }
         long sentAtUs = clock.nowUs();
-        sendTo(backend, new Outgoing(ProxyLoop::probeMessage, () -> backend.up,
+        sendTo(backend, new Outgoing(ProxyLoop::probeMessage, () -> mayGet(backend), () -> { },
                 PROBE_TIMEOUT_US, Outcome.TIMEOUT), result -> tell(null, () -> {
                     long now = clock.nowUs();
                     balancer.probeResult(now, server, result.outcome(), now - sentAtUs, report(result));
@@ -399,6 +426,7 @@
 
     /** Gives the one final answer. */
     private void answer(Exchange e, Answer answer) {
+        figures.ended(e.request.requestClass(), answer.end());
         end(e);
         e.responder.answer(answer);
     }
--- a/src/main/java/passhatch/proxy/ProxyServer.java
+++ b/src/main/java/passhatch/proxy/ProxyServer.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import passhatch.Balancer;
 import passhatch.Balancer.Actions;
 import passhatch.Balancer.RequestClass;
@@ -55,7 +56,10 @@
     private final CountDownLatch ended = new CountDownLatch(1);
     private ProxyLoop proxy;
     private ClientServer clients;
+    private DrainState drain;
+    private Console console;
     private InetSocketAddress address;
+    private InetSocketAddress consoleAddress;
 
     private ProxyServer(ProxyConfig config, EventLog log) {
         this.log = log;
@@ -109,19 +113,66 @@
             server.end();
             throw new ProxyConfig.BadConfig("PROXY_LISTEN: " + e.getMessage());
         }
+        try {
+            if (config.console() != null) {
+                server.consoleAddress = server.console.listen(config.console());
+            }
+        } catch (IOException e) {
+            server.end();
+            throw new ProxyConfig.BadConfig("PROXY_CONSOLE: " + e.getMessage());
+        }
         return server;
     }
 
     private void build(ProxyConfig config, Module module) {
         Clock clock = new Clock();
-        int forOthers = Math.max(8, config.sockets() - OWN_DESCRIPTORS);
+        int forConsole = config.console() == null ? 0 : Console.MOST_OPEN + 1;
+        int forOthers = Math.max(8, config.sockets() - OWN_DESCRIPTORS - forConsole);
         int forCallers = (int) (forOthers * FOR_CALLERS);
         BackendPool pool = new BackendPool(loop, clock, log, config.connectTimeoutUs(),
                 config.settings().limits().keepaliveUs(), forOthers - forCallers);
         loop.scheduleAtFixedRate(pool::closeStale, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
         proxy = new ProxyLoop(loop, clock, log, config, pool, module);
+        drain = new DrainState(loop);
+        console = new Console(loop, log, new ConsoleRoutes(new Staff()));
         clients = new ClientServer(loop, clock, log, new RequestParser(config), proxy, forCallers,
-                new BodyBudget((int) Math.min(1L << 30, Runtime.getRuntime().maxMemory() / BODY_PART)));
+                new BodyBudget((int) Math.min(1L << 30, Runtime.getRuntime().maxMemory() / BODY_PART)),
+                drain);
+    }
+
+    /** What the console has done. */
+    private final class Staff implements ConsoleRoutes.Operations {
+        @Override
+        public boolean ready() {
+            return proxy.ready() && !drain.isEnding();
+        }
+
+        @Override
+        public String counters() {
+            return proxy.counters();
+        }
+
+        @Override
+        public boolean knows(String backend) {
+            return proxy.knows(backend);
+        }
+
+        @Override
+        public void setOut(String backend, boolean out, Consumer<Boolean> done) {
+            proxy.setOut(backend, out);
+            done.accept(true);
+        }
+
+        @Override
+        public void setOutOfService(boolean out, Consumer<Boolean> done) {
+            log.line(out ? "out of service by hand" : "in service by hand");
+            if (out) {
+                drain.outOfService();
+                done.accept(true);
+            } else {
+                done.accept(drain.inService());
+            }
+        }
     }
 
     /**
@@ -157,6 +208,10 @@
         return address;
     }
 
+    InetSocketAddress consoleAddress() {
+        return consoleAddress;
+    }
+
     /**
      * Ends in an orderly way: connections are accepted for a little longer, and everything
      * taken is answered.
@@ -164,10 +219,11 @@
     void shutDown() {
         loop.execute(() -> {
             log.line("shutting down");
-            clients.leave();
+            drain.end();
             loop.schedule(clients::stopListening, ACCEPT_ON_MS, TimeUnit.MILLISECONDS);
             loop.schedule(() -> {
-                clients.drain();
+                drain.letGo();
+                clients.closeIdle();
                 proxy.whenIdle(this::end);
             }, ACCEPT_ON_MS + READ_ON_MS, TimeUnit.MILLISECONDS);
             loop.schedule(() -> {
@@ -189,6 +245,7 @@
 
     private void end() {
         proxy.stop();
+        console.close();
         clients.closeIdle();
         group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS).addListener(done -> ended.countDown());
     }
--- a/src/test/java/passhatch/proxy/BackendPoolTest.java
+++ b/src/test/java/passhatch/proxy/BackendPoolTest.java
@@ -44,6 +44,7 @@
             NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
     private final BlockingQueue<Result> results = new LinkedBlockingQueue<>();
+    private final AtomicInteger written = new AtomicInteger();
     private BackendPool pool;
 
     @BeforeEach
@@ -62,7 +63,7 @@
 
     private Handle send(InetSocketAddress address, boolean wanted, long timeoutUs) throws Exception {
         return loop.submit(() -> pool.send(new Target("s", address), new Outgoing(BackendPoolTest::message,
-                () -> wanted, timeoutUs, Outcome.TIMEOUT), results::add)).get();
+                () -> wanted, written::incrementAndGet, timeoutUs, Outcome.TIMEOUT), results::add)).get();
     }
 
     private static FullHttpRequest message() {
@@ -70,7 +71,7 @@
     }
 
     private static Outgoing outgoing() {
-        return new Outgoing(BackendPoolTest::message, () -> true, LONG_US, Outcome.TIMEOUT);
+        return new Outgoing(BackendPoolTest::message, () -> true, () -> { }, LONG_US, Outcome.TIMEOUT);
     }
 
     private Result next() throws InterruptedException {
--- /dev/null
+++ b/src/test/java/passhatch/proxy/ConsoleTest.java
@@ -0,0 +1,310 @@
+package passhatch.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.SocketException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import passhatch.proxy.Http.Message;
+
+/** The operators' address, over loopback sockets. */
+@Timeout(60)
+final class ConsoleTest {
+
+    @TempDir
+    Path folder;
+    private Rig rig;
+
+    @BeforeEach
+    void setUp() throws IOException {
+        rig = new Rig(folder).console("127.0.0.1:0");
+    }
+
+    @AfterEach
+    void tearDown() throws IOException {
+        rig.close();
+    }
+
+    private Message console(String call) throws IOException {
+        try (Http caller = Http.to(rig.proxy().consoleAddress())) {
+            caller.write(call + " HTTP/1.1\r\nHost: c\r\n\r\n");
+            Message answer = caller.read();
+            assertNull(caller.read(), "one call to a connection");
+            return answer;
+        }
+    }
+
+    private int status(String call) throws IOException {
+        return console(call).status();
+    }
+
+    private Map<String, Integer> counters() throws IOException {
+        Map<String, Integer> figures = new HashMap<>();
+        console("GET /control/counters").text().lines().map(line -> line.split("="))
+                .forEach(f -> figures.put(f[0].replace("edge_proxy.", ""), Integer.parseInt(f[1])));
+        return figures;
+    }
+
+    /** Waits until a figure has a value. */
+    private void awaitFigure(String name, int value) throws Exception {
+        long end = System.nanoTime() + Http.PATIENCE_MS * 1_000_000L;
+        while (counters().get(name) != value) {
+            assertTrue(System.nanoTime() < end, name + " in " + counters());
+            Thread.sleep(5);
+        }
+    }
+
+    private boolean frontReady() throws IOException {
+        int status = rig.call("GET /ready HTTP/1.1\r\nHost: p\r\n\r\n").status();
+        assertTrue(status == 200 || status == 503, "ready: " + status);
+        return status == 200;
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', textBlock = """
+            200 | GET /control/ready
+            200 | GET /control/counters
+            200 | GET /control/counters?x=1
+            200 | POST /control/backends/s/offline
+            200 | POST /control/backends/%73/online
+            200 | POST /control/out-of-service
+            200 | POST /control/in-service
+            404 | GET /
+            404 | GET /ready
+            404 | GET /control/
+            404 | POST /control/nothing
+            404 | POST /control/backends/s
+            404 | POST /control/backends/s/asleep
+            404 | POST /control/backends//offline
+            404 | POST /control/backends/s/offline/now
+            404 | POST /control/backends/t/offline
+            404 | POST /control/backends/t/online
+            404 | POST /control/backends/%74/online
+            400 | POST /control/backends/%7/offline
+            405 | POST /control/ready
+            405 | POST /control/counters
+            405 | GET /control/backends/s/offline
+            405 | GET /control/out-of-service
+            405 | DELETE /control/in-service
+            """)
+    void answersEachCall(int status, String call) throws Exception {
+        ScriptedServer backend = rig.backend(ScriptedServer.SILENT);
+        rig.start(Rig.entry("s", backend.address(), "SERVING"));
+        assertEquals(status, status(call));
+    }
+
+    @Test
+    void theWrongMethodIsToldTheRightOne() throws Exception {
+        rig.start();
+        assertEquals("GET", console("POST /control/ready").header("Allow"));
+        assertEquals("POST", console("GET /control/in-service").header("Allow"));
+    }
+
+    @Test
+    void rubbishIsAnsweredAndLargeCallsAreTurnedDown() throws Exception {
+        rig.start();
+        try (Http caller = Http.to(rig.proxy().consoleAddress())) {
+            caller.write("rubbish\r\n\r\n");
+            assertEquals(400, caller.read().status());
+        }
+        try (Http caller = Http.to(rig.proxy().consoleAddress())) {
+            caller.write("POST /control/in-service HTTP/1.1\r\nHost: c\r\nContent-Length: 99999999\r\n\r\n");
+            assertEquals(413, caller.read().status());
+        }
+    }
+
+    /** More callers hold connections than there is room for, with nothing said or half a head. */
+    @Test
+    void callersThatSayNothingKeepNoRealCallOut() throws Exception {
+        rig.start();
+        List<Http> holders = new ArrayList<>();
+        try {
+            for (int i = 0; i < Console.MOST_OPEN * 2; i++) {
+                Http holder = Http.to(rig.proxy().consoleAddress());
+                holders.add(holder);
+                if (i % 2 == 0) {
+                    try {
+                        holder.write("GET /control/re");
+                    } catch (SocketException alreadyLetGo) {
+                        // As it should be, where others came after it.
+                    }
+                }
+                assertEquals(200, status("GET /control/ready"));
+            }
+        } finally {
+            for (Http holder : holders) {
+                holder.close();
+            }
+        }
+    }
+
+    @Test
+    void aCallThatDoesNotComeToItsEndIsTimedOut() throws Exception {
+        rig.start();
+        try (Http caller = Http.to(rig.proxy().consoleAddress())) {
+            caller.write("GET /control/re");
+            assertEquals(408, caller.read().status());
+        }
+    }
+
+    @Test
+    void countsHowRequestsEndAndWhatIsOut() throws Exception {
+        CountDownLatch release = new CountDownLatch(1);
+        ScriptedServer backend = rig.backend((connection, request) -> {
+            if (request.start().contains("/move")) {
+                release.await();
+            }
+            connection.answer(request.start().contains("/move") ? "500 No" : "200 OK", "");
+        });
+        rig.start(Rig.entry("s", backend.address(), "SERVING"));
+        assertEquals(3 * 3 + 4, counters().size(), "three ends of three classes, zeros too, and four more");
+        assertEquals(0, counters().get("error.move"));
+        assertEquals(200, rig.call(Rig.get("a", "")).status());
+        assertEquals(404, rig.call("GET /nothing HTTP/1.1\r\nHost: p\r\n\r\n").status());
+        Http held = rig.client();
+        held.write(Rig.post("/move", "b", ""));
+        awaitFigure("dispatches", 2);
+        assertEquals(1, counters().get("concurrent"));
+        release.countDown();
+        assertEquals(502, held.read().status());
+        Map<String, Integer> after = counters();
+        assertEquals(1, after.get("success.board"));
+        assertEquals(1, after.get("error.move"));
+        assertEquals(0, after.get("overload.board"));
+        assertEquals(0, after.get("concurrent"));
+        assertEquals(1, after.get("targets"));
+        assertEquals(0, after.get("targets_disabled"));
+    }
+
+    @Test
+    void aClientThatLeavesIsNotInTheProxyAnyMore() throws Exception {
+        ScriptedServer backend = rig.backend(ScriptedServer.SILENT);
+        rig.start(Rig.entry("s", backend.address(), "SERVING"));
+        Http client = rig.client();
+        client.write(Rig.get("a", ""));
+        backend.next();
+        assertEquals(1, counters().get("concurrent"));
+        client.close();
+        awaitFigure("concurrent", 0);
+    }
+
+    /** Discovery goes on naming it, anew, at another address and with another start. */
+    @Test
+    void aBackendThatIsOutGetsNothingWhateverDiscoverySays() throws Exception {
+        ScriptedServer a = ScriptedServer.saying("a");
+        ScriptedServer b = ScriptedServer.saying("b");
+        rig.start(Rig.entry("a", a.address(), "SERVING"), Rig.entry("b", b.address(), "SERVING"));
+        assertEquals(200, status("POST /control/backends/a/offline"));
+        assertEquals(200, status("POST /control/backends/a/offline"));
+        assertEquals(1, counters().get("targets_disabled"));
+        ScriptedServer moved = ScriptedServer.saying("moved");
+        rig.lines.add(Rig.list(9, false, Rig.entry("a", a.address(), "DELETED")));
+        rig.lines.add(Rig.list(10, true, Rig.entry("a", moved.address(), "SERVING"),
+                Rig.entry("b", b.address(), "SERVING"), Rig.entry("c", b.address(), "DRAINING")));
+        awaitFigure("targets", 3);
+        for (int i = 0; i < 10; i++) {
+            assertEquals("b", rig.call(Rig.get("r" + i, "")).text());
+        }
+        assertEquals(0, a.received.size() + moved.received.size());
+        assertEquals(200, status("POST /control/backends/a/online"));
+        awaitServedBy("moved");
+    }
+
+    private void awaitServedBy(String text) throws Exception {
+        long end = System.nanoTime() + Http.PATIENCE_MS * 1_000_000L;
+        for (int i = 0; !rig.call(Rig.get(text + i, "")).text().equals(text); i++) {
+            assertTrue(System.nanoTime() < end, "nothing went to " + text);
+        }
+    }
+
+    @Test
+    void aDrainEmptiesTheProxyAndLosesNothing() throws Exception {
+        CountDownLatch release = new CountDownLatch(1);
+        ScriptedServer backend = rig.backend((connection, request) -> {
+            if (request.header("X-Request-Id").equals("held")) {
+                release.await();
+            }
+            connection.answer("200 OK", "ok");
+        });
+        rig.start(Rig.entry("s", backend.address(), "SERVING"));
+        Http held = rig.client();
+        held.write(Rig.get("held", ""));
+        backend.next();
+        Http kept = rig.client();
+        kept.write(Rig.get("kept", ""));
+        assertNull(kept.read().header("Connection"));
+        Http unused = rig.client();
+        assertEquals(200, status("POST /control/out-of-service"));
+        assertFalse(frontReady());
+        assertEquals(200, status("POST /control/out-of-service"));
+        assertEquals(200, status("GET /control/ready"), "it can serve");
+        assertNull(kept.read(), "idle: closed in time");
+        assertNull(unused.read(), "never used: closed in time");
+        Http late = rig.client();
+        late.write(Rig.get("late", ""));
+        assertEquals("close", late.read().header("Connection"), "what still comes is served");
+        release.countDown();
+        Message last = held.read();
+        assertEquals(200, last.status());
+        assertEquals("close", last.header("Connection"));
+        assertEquals(200, status("POST /control/in-service"));
+        assertTrue(frontReady());
+        assertNull(rig.call(Rig.get("again", "")).header("Connection"));
+    }
+
+    @Test
+    void aDrainBrokenOffHalfWayClosesNothing() throws Exception {
+        ScriptedServer backend = ScriptedServer.saying("ok");
+        rig.start(Rig.entry("s", backend.address(), "SERVING"));
+        Http kept = rig.client();
+        assertEquals(200, status("POST /control/out-of-service"));
+        assertEquals(200, status("POST /control/in-service"));
+        assertEquals(200, status("POST /control/in-service"));
+        kept.write(Rig.get("a", ""));
+        assertNull(kept.read().header("Connection"));
+        assertTrue(frontReady());
+    }
+
+    @Test
+    void aDrainedProxyEndsAtSigtermAndDoesNotComeBack() throws Exception {
+        rig.start();
+        assertEquals(200, status("POST /control/out-of-service"));
+        rig.proxy().shutDown();
+        assertEquals(503, status("POST /control/in-service"));
+        assertEquals(503, status("GET /control/ready"));
+        assertTrue(rig.proxy().awaitEnd(Http.PATIENCE_MS));
+    }
+
+    @Test
+    void anAddressThatCannotBeUsedEndsTheStartWithOneLine() throws Exception {
+        try (ServerSocket taken = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            String address = "127.0.0.1:" + taken.getLocalPort();
+            Map<String, String> env = new HashMap<>(rig.environment());
+            env.put("PROXY_CONSOLE", address);
+            ProxyConfig config = ProxyConfig.read(env);
+            ProxyConfig.BadConfig bad = assertThrows(ProxyConfig.BadConfig.class, () -> ProxyServer.start(
+                    config, new EventLog(System.err), passhatch.Logic::new));
+            assertTrue(bad.getMessage().startsWith("PROXY_CONSOLE: "), bad.getMessage());
+            env.put("PROXY_CONSOLE", "nowhere");
+            assertThrows(ProxyConfig.BadConfig.class, () -> ProxyConfig.read(env));
+        }
+    }
+}
--- a/src/test/java/passhatch/proxy/ProxyServerTest.java
+++ b/src/test/java/passhatch/proxy/ProxyServerTest.java
@@ -277,7 +277,7 @@
         return (Balancer) Proxy.newProxyInstance(Balancer.class.getClassLoader(),
                 new Class<?>[] {Balancer.class}, (self, method, args) -> {
                     told.accept(method.getName(), args);
-                    return null;
+                    return method.getReturnType() == boolean.class ? false : null;
                 });
     }
 
--- a/src/test/java/passhatch/proxy/Rig.java
+++ b/src/test/java/passhatch/proxy/Rig.java
@@ -31,6 +31,7 @@
     private int aimUs = 9_000_000;
     private int sockets = 256;
     private String discoveryInFile;
+    private String console;
     private ProxyServer proxy;
     private ProxyServer.Module module = passhatch.Logic::new;
 
@@ -72,6 +73,11 @@
         return this;
     }
 
+    Rig console(String address) {
+        console = address;
+        return this;
+    }
+
     Rig aimUs(int us) {
         aimUs = us;
         return this;
@@ -112,7 +118,7 @@
     /** The environment of a proxy whose known list is empty, with its configuration written. */
     Map<String, String> environment() throws IOException {
         Path file = folder.resolve("config.json");
-        Files.writeString(file, JSON.std.asString(Map.of("seed", "00000000000000ff",
+        Map<String, Object> config = new HashMap<>(Map.of("seed", "00000000000000ff",
                 "discovery", discoveryInFile,
                 "limits", Map.of("sockets", sockets), "known", JSON.std.mapFrom(list(7, true)), "settings",
                 Map.of("categories", List.of(kind("board", "pure"), kind("buy", "token"),
@@ -120,7 +126,11 @@
                         "tenants", List.of(Map.of("name", "acme", "quotaPerS", 0)), "dcs", List.of("a"),
                         "machineTypes", List.of("m"), "balancers", 1, "discovery", "pushed",
                         "limits", limits, "rules", Map.of("drainGraceUs", 2_000_000, "coldFrom", 0.4,
-                                "coldUs", 1_000_000, "tipMultiple", 2.5, "overloadForUs", 1_000_000)))));
+                                "coldUs", 1_000_000, "tipMultiple", 2.5, "overloadForUs", 1_000_000))));
+        if (console != null) {
+            config.put("console", console);
+        }
+        Files.writeString(file, JSON.std.asString(config));
         return Map.of("PROXY_NAME", "n0", "PROXY_LISTEN", "127.0.0.1:0", "PROXY_DISCOVERY",
                 "127.0.0.1:" + discovery.address().getPort(), "PROXY_CONFIG", file.toString());
     }
