--- a/src/main/java/passhatch/proxy/BackendPool.java
+++ b/src/main/java/passhatch/proxy/BackendPool.java
@@ -86,7 +86,7 @@
     private final Clock clock;
     private final EventLog log;
     private final long idleUs;
-    private final int mostOpen;
+    private int mostOpen;
     private final Bootstrap bootstrap;
     private final Map<Target, Deque<Connection>> idle = new HashMap<>();
     private final Set<Connection> open = new HashSet<>();
@@ -110,6 +110,14 @@
                         (int) Math.max(1, TimeUnit.MICROSECONDS.toMillis(connectTimeoutUs)));
     }
 
+    /** Holds to another number of connections from now on. */
+    void mostOpen(int most) {
+        mostOpen = most;
+        for (int over = open.size() - most; over > 0; over--) {
+            closeLongestIdle();
+        }
+    }
+
     /** Closes connections that backends might soon close themselves; to be called now and then. */
     void closeStale() {
         long before = clock.nowUs() - idleUs;
--- a/src/main/java/passhatch/proxy/ClientServer.java
+++ b/src/main/java/passhatch/proxy/ClientServer.java
@@ -1,15 +1,14 @@
 package passhatch.proxy;
 
 import io.netty.bootstrap.ServerBootstrap;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
-import java.io.IOException;
+import io.netty.channel.socket.nio.NioChannelOption;
 import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -42,12 +41,12 @@
     private final EventLog log;
     private final RequestParser parser;
     private final ProxyLoop proxy;
-    private final int mostOpen;
+    private int mostOpen;
     private final BodyBudget budget;
     private final DrainState drain;
     /** In the order of connecting. */
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
-    private Channel listener;
+    private SharedListener listener;
     private long nextBeatUs;
     private long heldUpUs;
 
@@ -71,9 +70,13 @@
         sweep();
     }
 
-    /** Starts to listen and waits until it does. */
-    InetSocketAddress listen(InetSocketAddress address) throws IOException, InterruptedException {
-        ChannelFuture bound = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+    /**
+     * Starts to listen; gives the address once it does.
+     *
+     * @param shared whether other processes may listen there too
+     */
+    ChannelFuture listen(InetSocketAddress address, boolean shared) {
+        ServerBootstrap bootstrap = new ServerBootstrap().group(loop).channelFactory(SharedListener::new)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
@@ -83,17 +86,40 @@
                         channel.pipeline().addLast(new ClientConnection(ClientServer.this, channel,
                                 clock.nowUs()).handlers());
                     }
-                }).bind(address).await();
-        if (!bound.isSuccess()) {
-            throw new IOException(bound.cause().getMessage());
+                });
+        if (shared) {
+            bootstrap.option(NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT), true);
         }
-        listener = bound.channel();
-        return (InetSocketAddress) listener.localAddress();
+        return bootstrap.bind(address).addListener((ChannelFuture bound) -> {
+            if (bound.isSuccess()) {
+                listener = (SharedListener) bound.channel();
+            }
+        });
+    }
+
+    /** Whether clients can connect. */
+    boolean isListening() {
+        return listener != null && listener.isActive();
+    }
+
+    /** Leaves new connections to another process that listens at the same address. */
+    void handOff() {
+        if (listener != null) {
+            listener.handOff();
+        }
+    }
+
+    /** Holds to another number of connections from now on. */
+    void mostOpen(int most) {
+        mostOpen = most;
+        makeRoom();
     }
 
     /** Takes no more connections; those open are served on. */
     void stopListening() {
-        listener.close();
+        if (listener != null) {
+            listener.close();
+        }
     }
 
     /** Closes the connections on which nothing is out, as clients expect between requests. */
--- a/src/main/java/passhatch/proxy/DrainState.java
+++ b/src/main/java/passhatch/proxy/DrainState.java
@@ -58,6 +58,11 @@
         ending = true;
     }
 
+    /** Another process takes its clients: each answer sends one there. */
+    void sendAway() {
+        answersEnd = true;
+    }
+
     /** And lets go of its clients: each answer ends its connection, and idle ones are closed. */
     void letGo() {
         answersEnd = true;
--- a/src/main/java/passhatch/proxy/ProxyConfig.java
+++ b/src/main/java/passhatch/proxy/ProxyConfig.java
@@ -7,6 +7,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
+import java.nio.file.InvalidPathException;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
@@ -25,11 +26,12 @@
  * @param sockets file descriptors this process may hold
  * @param known the list as this proxy last had it
  * @param console the operators' address, or null where there is none
+ * @param folder where files may be kept that another process of this proxy reads, or null
  */
 record ProxyConfig(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed,
         Settings settings, List<String> classes, List<String> tenants, List<String> zones,
         List<String> models, long connectTimeoutUs, int sockets, EndpointList known,
-        InetSocketAddress console) {
+        InetSocketAddress console, Path folder) {
 
     private static final long DEFAULT_CONNECT_TIMEOUT_US = 250_000;
     private static final int DEFAULT_SOCKETS = 1024;
@@ -82,7 +84,16 @@
                 names(params, "categories"), names(params, "tenants"), zones, models,
                 ms instanceof Number n ? n.longValue() : DEFAULT_CONNECT_TIMEOUT_US,
                 limits.get("sockets") instanceof Number n ? n.intValue() : DEFAULT_SOCKETS, known,
-                console(env, file));
+                console(env, file), folder(env));
+    }
+
+    private static Path folder(Map<String, String> env) throws BadConfig {
+        String folder = env.get("TMPDIR");
+        try {
+            return folder == null || folder.isBlank() ? null : Path.of(folder);
+        } catch (InvalidPathException bad) {
+            throw new BadConfig("TMPDIR: " + bad.getMessage());
+        }
     }
 
     /** The variable comes before the file, as with the other addresses. */
--- a/src/main/java/passhatch/proxy/ProxyLoop.java
+++ b/src/main/java/passhatch/proxy/ProxyLoop.java
@@ -83,6 +83,7 @@
     private boolean listed;
     private int unanswered;
     private Runnable onIdle = () -> { };
+    private Runnable onReady = () -> { };
 
     /** Something to tell the module. */
     private record Event(Exchange about, Runnable tell) { }
@@ -108,6 +109,15 @@
         return listed;
     }
 
+    /** Calls back, once, when a list of backends has come in, at once where one has. */
+    void whenReady(Runnable then) {
+        if (listed) {
+            then.run();
+        } else {
+            onReady = then;
+        }
+    }
+
     /** The figures as of now. */
     String counters() {
         return figures.text(unanswered, balancer.census(clock.nowUs()));
@@ -158,6 +168,9 @@
         listed = true;
         tell(null, () -> balancer.serversChanged(clock.nowUs(),
                 list.whole() ? ListKind.WHOLE : ListKind.CHANGES, list.servers()));
+        Runnable ready = onReady;
+        onReady = () -> { };
+        ready.run();
     }
 
     @Override
--- a/src/main/java/passhatch/proxy/ProxyServer.java
+++ b/src/main/java/passhatch/proxy/ProxyServer.java
@@ -1,5 +1,6 @@
 package passhatch.proxy;
 
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
@@ -10,6 +11,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -58,7 +60,12 @@
     private ClientServer clients;
     private DrainState drain;
     private Console console;
-    private InetSocketAddress address;
+    private BackendPool pool;
+    private Handover handover;
+    private int ownDescriptors;
+    /** What the process ends with. */
+    private volatile int status;
+    private volatile InetSocketAddress address;
     private InetSocketAddress consoleAddress;
 
     private ProxyServer(ProxyConfig config, EventLog log) {
@@ -84,6 +91,8 @@
         } catch (ProxyConfig.BadConfig bad) {
             err.println("passhatch: " + bad.getMessage());
             return 2;
+        } catch (ExecutionException bug) {
+            throw new IllegalStateException(bug);
         }
         started.complete(server);
         CountDownLatch ended = server.ended;
@@ -96,41 +105,62 @@
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
             }
-            Runtime.getRuntime().halt(0);
+            Runtime.getRuntime().halt(server.status);
         }));
         ended.await();
-        return 0;
+        return server.status;
     }
 
     /** Starts a proxy and returns once it listens. */
     static ProxyServer start(ProxyConfig config, EventLog log, Module module)
-            throws ProxyConfig.BadConfig, InterruptedException {
+            throws ProxyConfig.BadConfig, InterruptedException, ExecutionException {
         ProxyServer server = new ProxyServer(config, log);
         server.loop.submit(() -> server.build(config, module)).sync();
-        try {
-            server.address = server.clients.listen(config.listen());
-        } catch (IOException e) {
-            server.end();
-            throw new ProxyConfig.BadConfig("PROXY_LISTEN: " + e.getMessage());
+        if (config.console() == null || !server.loop.submit(server.handover::hasPeer).get()) {
+            ChannelFuture listening = server.clients.listen(config.listen(), config.console() != null).await();
+            if (!listening.isSuccess()) {
+                server.end();
+                throw new ProxyConfig.BadConfig("PROXY_LISTEN: " + listening.cause().getMessage());
+            }
+            server.address = (InetSocketAddress) listening.channel().localAddress();
         }
-        try {
-            if (config.console() != null) {
+        if (config.console() != null) {
+            try {
                 server.consoleAddress = server.console.listen(config.console());
+            } catch (IOException e) {
+                server.end();
+                throw new ProxyConfig.BadConfig("PROXY_CONSOLE: " + e.getMessage());
             }
-        } catch (IOException e) {
-            server.end();
-            throw new ProxyConfig.BadConfig("PROXY_CONSOLE: " + e.getMessage());
+            server.loop.execute(() -> server.proxy.whenReady(() -> server.serve(config.listen())));
         }
         return server;
     }
 
+    /** Takes clients, beside another process if there is one, which until now had them all. */
+    private void serve(InetSocketAddress listen) {
+        if (clients.isListening()) {
+            handover.serving(true);
+            return;
+        }
+        clients.listen(listen, true).addListener((ChannelFuture listening) -> {
+            if (listening.isSuccess()) {
+                address = (InetSocketAddress) listening.channel().localAddress();
+                log.line("handover: this process serves beside the one before it");
+                handover.serving(true);
+            } else {
+                log.line("PROXY_LISTEN: " + listening.cause().getMessage());
+                status = 2;
+                end();
+            }
+        });
+    }
+
     private void build(ProxyConfig config, Module module) {
         Clock clock = new Clock();
-        int forConsole = config.console() == null ? 0 : Console.MOST_OPEN + 1;
-        int forOthers = Math.max(8, config.sockets() - OWN_DESCRIPTORS - forConsole);
-        int forCallers = (int) (forOthers * FOR_CALLERS);
-        BackendPool pool = new BackendPool(loop, clock, log, config.connectTimeoutUs(),
-                config.settings().limits().keepaliveUs(), forOthers - forCallers);
+        ownDescriptors = OWN_DESCRIPTORS + (config.console() == null ? 0 : Console.MOST_OPEN + 1);
+        int forCallers = forCallers(config.sockets());
+        pool = new BackendPool(loop, clock, log, config.connectTimeoutUs(),
+                config.settings().limits().keepaliveUs(), forBackends(config.sockets()));
         loop.scheduleAtFixedRate(pool::closeStale, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
         proxy = new ProxyLoop(loop, clock, log, config, pool, module);
         drain = new DrainState(loop);
@@ -138,13 +168,62 @@
         clients = new ClientServer(loop, clock, log, new RequestParser(config), proxy, forCallers,
                 new BodyBudget((int) Math.min(1L << 30, Runtime.getRuntime().maxMemory() / BODY_PART)),
                 drain);
+        if (config.console() != null) {
+            handover = new Handover(loop, log, config.folder(), config.name(), new SetByHand(config.sockets()));
+        }
+    }
+
+    private int forOthers(int descriptors) {
+        return Math.max(8, descriptors - ownDescriptors);
+    }
+
+    private int forCallers(int descriptors) {
+        return (int) (forOthers(descriptors) * FOR_CALLERS);
+    }
+
+    private int forBackends(int descriptors) {
+        return forOthers(descriptors) - forCallers(descriptors);
+    }
+
+    /** Follows what staff set, on whichever process's console, and makes room for another process. */
+    private final class SetByHand implements Handover.Listener {
+        private final int descriptors;
+        private SharedState now = SharedState.NOTHING_SET;
+
+        SetByHand(int descriptors) {
+            this.descriptors = descriptors;
+        }
+
+        @Override
+        public void set(SharedState state) {
+            SharedState before = now;
+            now = state;
+            state.out().stream().filter(id -> !before.out().contains(id)).forEach(id -> proxy.setOut(id, true));
+            before.out().stream().filter(id -> !state.out().contains(id))
+                    .forEach(id -> proxy.setOut(id, false));
+            if (state.outOfService() != before.outOfService()) {
+                log.line(state.outOfService() ? "out of service by hand" : "in service by hand");
+                if (state.outOfService()) {
+                    drain.outOfService();
+                } else {
+                    drain.inService();
+                }
+            }
+        }
+
+        @Override
+        public void alone(boolean alone) {
+            int share = alone ? descriptors : descriptors / 2;
+            clients.mostOpen(forCallers(share));
+            pool.mostOpen(forBackends(share));
+        }
     }
 
     /** What the console has done. */
     private final class Staff implements ConsoleRoutes.Operations {
         @Override
         public boolean ready() {
-            return proxy.ready() && !drain.isEnding();
+            return proxy.ready() && clients.isListening() && !drain.isEnding();
         }
 
         @Override
@@ -159,18 +238,15 @@
 
         @Override
         public void setOut(String backend, boolean out, Consumer<Boolean> done) {
-            proxy.setOut(backend, out);
-            done.accept(true);
+            handover.change(state -> state.withOut(backend, out), done);
         }
 
         @Override
         public void setOutOfService(boolean out, Consumer<Boolean> done) {
-            log.line(out ? "out of service by hand" : "in service by hand");
-            if (out) {
-                drain.outOfService();
-                done.accept(true);
+            if (!out && drain.isEnding() && !handover.hasPeer()) {
+                done.accept(false);
             } else {
-                done.accept(drain.inService());
+                handover.change(state -> state.withOutOfService(out), done);
             }
         }
     }
@@ -220,12 +296,20 @@
         loop.execute(() -> {
             log.line("shutting down");
             drain.end();
-            loop.schedule(clients::stopListening, ACCEPT_ON_MS, TimeUnit.MILLISECONDS);
+            boolean succeeded = handover != null && handover.hasSuccessor();
+            if (succeeded) {
+                log.line("handover: another process serves; what it can take is left to it");
+                handover.serving(false);
+                drain.sendAway();
+                clients.handOff();
+            } else {
+                loop.schedule(clients::stopListening, ACCEPT_ON_MS, TimeUnit.MILLISECONDS);
+            }
             loop.schedule(() -> {
                 drain.letGo();
                 clients.closeIdle();
                 proxy.whenIdle(this::end);
-            }, ACCEPT_ON_MS + READ_ON_MS, TimeUnit.MILLISECONDS);
+            }, (succeeded ? 0 : ACCEPT_ON_MS) + READ_ON_MS, TimeUnit.MILLISECONDS);
             loop.schedule(() -> {
                 proxy.answerAll();
                 end();
@@ -246,6 +330,9 @@
     private void end() {
         proxy.stop();
         console.close();
+        if (handover != null) {
+            handover.close();
+        }
         clients.closeIdle();
         group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS).addListener(done -> ended.countDown());
     }
--- a/src/main/java/passhatch/proxy/Rehearsal.java
+++ b/src/main/java/passhatch/proxy/Rehearsal.java
@@ -9,9 +9,12 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.DirectoryStream;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ExecutionException;
 import passhatch.Logic;
 
 /**
@@ -24,6 +27,9 @@
     private static final int TIMEOUT_MS = 10_000;
     /** Requests passed on: enough to use a kept connection too. */
     private static final int REQUESTS = 3;
+    private static final List<String> CONSOLE_CALLS = List.of("POST /control/backends/s/offline",
+            "POST /control/backends/s/online", "POST /control/out-of-service", "POST /control/in-service",
+            "GET /control/counters");
 
     private static final String SETTINGS = """
             {"categories":[{"name":"c","effect":"pure","group":"all","goalTimeUs":9000000,
@@ -39,7 +45,8 @@
     public static int run(PrintStream err) throws InterruptedException {
         HangUpSignal.onEach(() -> { });
         try (ServerSocket others = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
-            Path config = Files.createTempFile("rehearsal", ".json");
+            Path folder = Files.createTempDirectory("rehearsal");
+            Path config = folder.resolve("config.json");
             try {
                 String here = "127.0.0.1:" + others.getLocalPort();
                 String list = """
@@ -52,28 +59,36 @@
                 stub.setDaemon(true);
                 stub.start();
                 ProxyServer proxy = ProxyServer.start(ProxyConfig.read(Map.of("PROXY_NAME", "n",
-                        "PROXY_LISTEN", "127.0.0.1:0", "PROXY_DISCOVERY", here, "PROXY_CONFIG",
-                        config.toString())), new EventLog(err), Logic::new);
+                        "PROXY_LISTEN", "127.0.0.1:0", "PROXY_CONSOLE", "127.0.0.1:0", "PROXY_DISCOVERY", here,
+                        "PROXY_CONFIG", config.toString(), "TMPDIR", folder.toString())),
+                        new EventLog(err), Logic::new);
                 for (int i = 0; i < REQUESTS; i++) {
-                    call(proxy.address(), i);
+                    call(proxy.address(), "GET /c/x HTTP/1.1\r\nHost: p\r\nX-Request-Id: r" + i
+                            + "\r\nX-Tenant: t\r\nX-Deadline: 9000m\r\nX-Cost-Hint: 9\r\n\r\n");
+                }
+                for (String path : CONSOLE_CALLS) {
+                    call(proxy.consoleAddress(), path + " HTTP/1.1\r\nHost: c\r\n\r\n");
                 }
                 proxy.stopNow();
                 return proxy.awaitEnd(TIMEOUT_MS) ? 0 : 1;
             } finally {
-                Files.delete(config);
+                try (DirectoryStream<Path> files = Files.newDirectoryStream(folder)) {
+                    for (Path file : files) {
+                        Files.delete(file);
+                    }
+                }
+                Files.delete(folder);
             }
-        } catch (IOException | ProxyConfig.BadConfig bad) {
+        } catch (IOException | ProxyConfig.BadConfig | ExecutionException bad) {
             err.println("passhatch: rehearsal: " + bad.getMessage());
             return 1;
         }
     }
 
-    private static void call(InetSocketAddress proxy, int number) throws IOException {
+    private static void call(InetSocketAddress proxy, String call) throws IOException {
         try (Socket client = new Socket(proxy.getAddress(), proxy.getPort())) {
             client.setSoTimeout(TIMEOUT_MS);
-            client.getOutputStream().write(("GET /c/x HTTP/1.1\r\nHost: p\r\nX-Request-Id: r" + number
-                    + "\r\nX-Tenant: t\r\nX-Deadline: 9000m\r\nX-Cost-Hint: 9\r\n\r\n")
-                    .getBytes(StandardCharsets.US_ASCII));
+            client.getOutputStream().write(call.getBytes(StandardCharsets.US_ASCII));
             String status = new BufferedReader(new InputStreamReader(client.getInputStream(),
                     StandardCharsets.US_ASCII)).readLine();
             if (status == null || !status.contains(" 200 ")) {
