Handover: tests, and a put-back server gets its first call outside the circle

Ruled out: rest and demotion (renew clears them), the wait for entry (paceUs is 0.1 s here). Lines at fault: Logic.pick stops at the circle's end.

--- a/src/main/java/passhatch/Backend.java
+++ b/src/main/java/passhatch/Backend.java
@@ -13,6 +13,8 @@
     long coldSinceUs;
     /** Taken out by hand. */
     boolean out;
+    /** Put back by hand, and no call has reached it since. */
+    boolean returning;
     /** The latest list has it in use. */
     boolean up;
     /** It stands among the servers that calls may go to. */
--- a/src/main/java/passhatch/Logic.java
+++ b/src/main/java/passhatch/Logic.java
@@ -102,6 +102,8 @@
     private static final int LEAST_CIRCLE = 4;
     /** The same where probes tell: enough to find an idle one, few enough to rank for each call. */
     private static final int LEAST_TOLD = 24;
+    /** A server put back by hand is tried within this time, where any call may go there. */
+    private static final long RETURN_US = 2_000_000;
     /** At most one line for the operator in this time: trouble comes in crowds. */
     private static final long SAY_AGAIN_US = 10_000_000;
     /** Servers remembered as once listed; ever new ones come, and what nobody forgets grows for good. */
@@ -122,6 +124,8 @@
     private final Set<String> named = new LinkedHashSet<>();
     /** Servers taken out by hand. They are kept beside the list, so that no list brings one back. */
     private final Set<String> out = new HashSet<>();
+    /** Whether a server that was put back may still wait for its first call. */
+    private boolean returning;
     private final Map<String, Call> calls = new HashMap<>();
     /** Calls for which no server may be used now, oldest first. */
     private final ArrayDeque<Call> waiting = new ArrayDeque<>();
@@ -532,9 +536,10 @@
             int many = ring == 0 ? near : all - near;
             int first = (int) ((long) settings.copy() * many / settings.copies());
             left = best == null && wanted == Wanted.ANY ? circle(nowUs) : left;
-            for (int i = 0; i < many && left > 0; i++) {
+            for (int i = 0; i < many && (left > 0 || returning); i++) {
                 Backend s = servers.get(from + (i + first) % many);
-                if (!open(nowUs, call, s)) {
+                // Whoever put a server back looks for its first call, so it comes in addition to the circle.
+                if (!open(nowUs, call, s) || left <= 0 && !s.returning) {
                     continue;
                 }
                 left--;
@@ -705,6 +710,10 @@
         attempt.out = false;
         attempt.server.inFlight--;
         call.out--;
+        if (attempt.server.returning && (!outcome.provesNotRun || outcome == Outcome.FULL)) {
+            attempt.server.returning = false;
+            returning = servers.stream().anyMatch(s -> s.returning);
+        }
         if (attempt.server.out) {
             actions.closeIdle(attempt.server.id);
         } else if (attempt.server.draining) {
@@ -902,6 +911,9 @@
             s.renew(nowUs);
             if (s.listed) {
                 enter(nowUs, s);
+                s.entryAtUs = Math.min(s.entryAtUs, nowUs + (long) (random.nextDouble() * RETURN_US));
+                s.returning = true;
+                returning = true;
             }
             advance(nowUs);
         }
--- a/src/test/java/passhatch/LogicTest.java
+++ b/src/test/java/passhatch/LogicTest.java
@@ -1414,6 +1414,36 @@
             assertTrue(warm >= 9, "a warm server got " + warm + " of 30 calls");
         }
 
+        /** It may have stood in for another that was out, beyond the few servers that this copy keeps to. */
+        @Test
+        void getsACallSoonEvenOutsideTheCopysCircle() {
+            Proxy.Setup many = setup();
+            many.copies = 4;
+            Proxy p = new Proxy(many).with("a", "b", "c", "d", "e", "f", "g");
+            Set<String> circle = new HashSet<>();
+            for (int i = 0; i < 40; i++) {
+                circle.add(p.serve());
+            }
+            assertEquals(4, circle.size());
+            for (String server : List.of("a", "b", "c", "d", "e", "f", "g")) {
+                p.logic.takeOut(p.now, server);
+                p.pass(100);
+                p.logic.putBack(p.now, server);
+                int before = p.sentTo.size();
+                Set<String> used = new HashSet<>();
+                for (int i = 0; i < 60 && !used.contains(server); i++) {
+                    used.add(p.serve());
+                }
+                assertTrue(used.contains(server), server + " got none of " + (p.sentTo.size() - before));
+            }
+            Set<String> later = new HashSet<>();
+            p.pass(8_000);
+            for (int i = 0; i < 40; i++) {
+                later.add(p.serve());
+            }
+            assertEquals(circle, later, "then the copy keeps to its circle again");
+        }
+
         /** Failures of the process that was taken out say nothing of the one that is back. */
         @Test
         void isNotLeftToRestAfterItsReturn() {
--- a/src/test/java/passhatch/proxy/ProxyProcess.java
+++ b/src/test/java/passhatch/proxy/ProxyProcess.java
@@ -21,9 +21,16 @@
 
     /** Starts it with the environment, on a free port, and waits until it is ready. */
     ProxyProcess(Map<String, String> environment) throws IOException, InterruptedException {
-        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            address = (InetSocketAddress) free.getLocalSocketAddress();
+        this(environment, freeAddress());
+        while (!listens()) {
+            Thread.sleep(10);
         }
+        Rig.awaitReady(address);
+    }
+
+    /** Starts it at an address that another may have, and waits for nothing. */
+    ProxyProcess(Map<String, String> environment, InetSocketAddress address) throws IOException {
+        this.address = address;
         Map<String, String> env = new HashMap<>(environment);
         env.put("PROXY_LISTEN", "127.0.0.1:" + address.getPort());
         String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
@@ -32,10 +39,12 @@
         builder.environment().putAll(env);
         process = builder.start();
         log = process.errorReader(StandardCharsets.UTF_8);
-        while (!listens()) {
-            Thread.sleep(10);
+    }
+
+    static InetSocketAddress freeAddress() throws IOException {
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return (InetSocketAddress) free.getLocalSocketAddress();
         }
-        Rig.awaitReady(address);
     }
 
     boolean listens() {
--- /dev/null
+++ b/src/test/java/passhatch/proxy/UpgradeTest.java
@@ -0,0 +1,217 @@
+package passhatch.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import passhatch.proxy.Http.Message;
+
+/** A second process of the same proxy, started beside the first. */
+@Timeout(120)
+final class UpgradeTest {
+
+    @TempDir
+    Path folder;
+    @TempDir
+    Path shared;
+    private Rig rig;
+
+    @BeforeEach
+    void setUp() throws IOException {
+        rig = new Rig(folder);
+    }
+
+    @AfterEach
+    void tearDown() throws IOException {
+        rig.close();
+    }
+
+    /** A process and its console. */
+    private final class Version implements AutoCloseable {
+        final InetSocketAddress console = ProxyProcess.freeAddress();
+        final ProxyProcess proxy;
+
+        Version(InetSocketAddress listen, String... entries) throws Exception {
+            Map<String, String> env = new HashMap<>(rig.environment());
+            env.put("PROXY_CONSOLE", "127.0.0.1:" + console.getPort());
+            env.put("TMPDIR", shared.toString());
+            ScriptedServer discovery = rig.backend((connection, request) -> {
+                String line = Rig.list(8, true, entries) + "\n";
+                connection.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                        + Integer.toHexString(line.length()) + "\r\n" + line + "\r\n");
+            });
+            env.put("PROXY_DISCOVERY", "127.0.0.1:" + discovery.address().getPort());
+            proxy = new ProxyProcess(env, listen);
+            long end = System.nanoTime() + Http.PATIENCE_MS * 1_000_000L;
+            while (!says("GET /control/ready")) {
+                assertTrue(System.nanoTime() < end, "it did not get ready");
+                Thread.sleep(10);
+            }
+        }
+
+        boolean says(String call) {
+            try (Http caller = Http.to(console)) {
+                caller.write(call + " HTTP/1.1\r\nHost: c\r\n\r\n");
+                return caller.read().status() == 200;
+            } catch (IOException notThereYet) {
+                return false;
+            }
+        }
+
+        @Override
+        public void close() {
+            proxy.close();
+        }
+    }
+
+    private static String call(InetSocketAddress proxy, String id) throws IOException {
+        try (Http client = Http.to(proxy)) {
+            client.write(Rig.get(id, ""));
+            Message answer = client.read();
+            return answer == null ? "nothing" : answer.status() + " " + answer.text();
+        }
+    }
+
+    @Test
+    void noClientNoticesAndBansStay() throws Exception {
+        ScriptedServer a = ScriptedServer.saying("a");
+        CountDownLatch release = new CountDownLatch(1);
+        ScriptedServer b = rig.backend((connection, request) -> {
+            if (request.header("X-Request-Id").equals("held")) {
+                release.await();
+            }
+            connection.answer("200 OK", "b");
+        });
+        String[] list = {Rig.entry("a", a.address(), "SERVING"), Rig.entry("b", b.address(), "SERVING")};
+        InetSocketAddress listen = ProxyProcess.freeAddress();
+        try (Version first = new Version(listen, list)) {
+            assertTrue(first.says("POST /control/backends/a/offline"));
+            Http held = Http.to(listen);
+            held.write(Rig.get("held", ""));
+            assertEquals("held", b.next().header("X-Request-Id"));
+            AtomicBoolean stop = new AtomicBoolean();
+            AtomicInteger served = new AtomicInteger();
+            CompletableFuture<String> clients = CompletableFuture.supplyAsync(() -> {
+                String answer = "200 b";
+                for (int i = 0; !stop.get() && answer.equals("200 b"); i++) {
+                    try {
+                        answer = call(listen, "c" + i);
+                        served.incrementAndGet();
+                    } catch (IOException broken) {
+                        answer = broken.toString();
+                    }
+                }
+                return answer;
+            });
+            try (Version second = new Version(listen, list)) {
+                assertTrue(first.says("POST /control/backends/a/offline"));
+                first.proxy.signal("TERM");
+                first.proxy.awaitLog("another process serves");
+                int before = served.get();
+                release.countDown();
+                Message answer = held.read();
+                assertEquals(200, answer.status());
+                assertEquals("close", answer.header("Connection"));
+                assertEquals(0, first.proxy.awaitEnd());
+                while (served.get() < before + 20 && !clients.isDone()) {
+                    Thread.sleep(5);
+                }
+                stop.set(true);
+                assertEquals("200 b", clients.get(Http.PATIENCE_MS, TimeUnit.MILLISECONDS));
+                assertEquals(0, a.received.size(), "what is out by hand is out for the successor too");
+                assertTrue(second.says("POST /control/backends/a/online"));
+                long end = System.nanoTime() + Http.PATIENCE_MS * 1_000_000L;
+                for (int i = 0; a.received.isEmpty(); i++) {
+                    call(listen, "again" + i);
+                    assertTrue(System.nanoTime() < end, "it gets nothing after the call back");
+                }
+            }
+        }
+    }
+
+    @Test
+    void aDrainHoldsForTheSuccessorUntilItsEnd() throws Exception {
+        ScriptedServer a = ScriptedServer.saying("a");
+        String entry = Rig.entry("a", a.address(), "SERVING");
+        InetSocketAddress listen = ProxyProcess.freeAddress();
+        try (Version first = new Version(listen, entry)) {
+            assertTrue(first.says("POST /control/out-of-service"));
+            try (Version second = new Version(listen, entry)) {
+                first.proxy.signal("TERM");
+                assertEquals(0, first.proxy.awaitEnd());
+                assertEquals(503, ready(listen));
+                assertTrue(second.says("POST /control/in-service"));
+                assertEquals(200, ready(listen));
+            }
+        }
+    }
+
+    private static int ready(InetSocketAddress proxy) throws IOException {
+        try (Http front = Http.to(proxy)) {
+            front.write("GET /ready HTTP/1.1\r\nHost: p\r\n\r\n");
+            return front.read().status();
+        }
+    }
+
+    @Test
+    void aSuccessorThatIsKilledLeavesTheFirstServing() throws Exception {
+        ScriptedServer a = ScriptedServer.saying("a");
+        String entry = Rig.entry("a", a.address(), "SERVING");
+        InetSocketAddress listen = ProxyProcess.freeAddress();
+        try (Version first = new Version(listen, entry)) {
+            try (Version second = new Version(listen, entry)) {
+                second.proxy.signal("KILL");
+                second.proxy.awaitEnd();
+            }
+            for (int i = 0; i < 20; i++) {
+                assertEquals("200 a", call(listen, "r" + i));
+            }
+            first.proxy.signal("TERM");
+            first.proxy.awaitLog("shutting down");
+            assertEquals("200 a", call(listen, "late"), "with no successor it takes what still comes");
+            assertEquals(0, first.proxy.awaitEnd());
+        }
+    }
+
+    @Test
+    void aPredecessorThatIsKilledLeavesTheSecondServing() throws Exception {
+        ScriptedServer a = ScriptedServer.saying("a");
+        String entry = Rig.entry("a", a.address(), "SERVING");
+        InetSocketAddress listen = ProxyProcess.freeAddress();
+        try (Version first = new Version(listen, entry); Version second = new Version(listen, entry)) {
+            first.proxy.signal("KILL");
+            first.proxy.awaitEnd();
+            for (int i = 0; i < 20; i++) {
+                assertEquals("200 a", call(listen, "r" + i));
+            }
+            assertTrue(second.says("POST /control/backends/a/offline"));
+            assertFalse(second.says("POST /control/backends/z/offline"));
+        }
+    }
+
+    @Test
+    void aCorruptFileStopsNoStart() throws Exception {
+        ScriptedServer a = ScriptedServer.saying("a");
+        Files.writeString(shared.resolve("passhatch-n0-state.json"), "{\"version\":");
+        try (Version first = new Version(ProxyProcess.freeAddress(),
+                Rig.entry("a", a.address(), "SERVING"))) {
+            assertEquals("200 a", call(first.proxy.address, "r"));
+        }
+    }
+}
