--- a/src/main/java/passhatch/Attempt.java
+++ b/src/main/java/passhatch/Attempt.java
@@ -23,6 +23,11 @@
         this.known = known;
     }
 
+    /** Whether it is out and nothing of its answer has come. */
+    boolean waitsForAnswer() {
+        return out && call.bound != this;
+    }
+
     /** Whether its server had just said that it was idle. */
     boolean toldIdle() {
         return known && ahead == call.size;
--- a/src/main/java/passhatch/Balancer.java
+++ b/src/main/java/passhatch/Balancer.java
@@ -206,9 +206,18 @@
      * @param timeLeftUs until the client gives up this try
      * @param workUs expected work on a standard core; 0 where unknown
      * @param clientRetry true where the client says that it tries again
+     * @param arriving true where it is still coming in: {@link Balancer#requestWhole} follows, from which on
+     *     its time counts
      */
     record Request(String id, int requestClass, int tenant, long timeLeftUs, long workUs,
-            boolean clientRetry) { }
+            boolean clientRetry, boolean arriving) {
+
+        /** A request that is whole. */
+        public Request(String id, int requestClass, int tenant, long timeLeftUs, long workUs,
+                boolean clientRetry) {
+            this(id, requestClass, tenant, timeLeftUs, workUs, clientRetry, false);
+        }
+    }
 
     /**
      * A server's own view of its load; -1 where it does not say.
@@ -258,6 +267,16 @@
     /** A new request; it must get one final answer. */
     void request(long nowUs, Request request);
 
+    /**
+     * All of a request is in that was still arriving.
+     *
+     * @param timeLeftUs until the client gives up this try
+     */
+    void requestWhole(long nowUs, String request, long timeLeftUs);
+
+    /** Part of the request went out and is not held any more: it cannot be sent again. */
+    void bodySpent(long nowUs, String request);
+
     /**
      * An attempt ended.
      *
--- a/src/main/java/passhatch/Call.java
+++ b/src/main/java/passhatch/Call.java
@@ -10,11 +10,19 @@
     final Request request;
     final RequestClass kind;
     /** No answer later than this earns anything or is still listened to. */
-    final long endAtUs;
+    long endAtUs;
     /** Its expected work, as a multiple of the usual; 1 where unknown. */
     final double size;
     /** When its client gives up. */
-    final long deadlineUs;
+    long deadlineUs;
+    /** The time that is of use to it, from its last byte on. */
+    final long usefulUs;
+    /** It is still coming in, and nothing is known yet of how long an attempt takes. */
+    boolean arriving;
+    /** It cannot be sent again. */
+    boolean spent;
+    /** The attempt whose answer is the client's already; null where there is none. */
+    Attempt bound;
     final List<Attempt> attempts = new ArrayList<>(2);
     int out;
     boolean ended;
@@ -25,10 +33,12 @@
     /** The call waits for probes until then. */
     long probeUntilUs = Long.MIN_VALUE;
 
-    Call(Request request, RequestClass kind, long nowUs, long endAtUs, double size) {
+    Call(Request request, RequestClass kind, long nowUs, long usefulUs, double size) {
         this.request = request;
         this.kind = kind;
-        this.endAtUs = endAtUs;
+        this.usefulUs = usefulUs;
+        this.endAtUs = nowUs + Math.min(request.timeLeftUs(), usefulUs);
+        this.arriving = request.arriving();
         this.size = size;
         this.deadlineUs = nowUs + request.timeLeftUs();
     }
--- a/src/main/java/passhatch/Logic.java
+++ b/src/main/java/passhatch/Logic.java
@@ -402,7 +402,7 @@
             // The aim counts from the first try, and a last try has all that is left of the client's time.
             usefulUs -= kind.deadlineUs() - request.timeLeftUs();
         }
-        Call call = new Call(request, kind, nowUs, nowUs + Math.min(request.timeLeftUs(), usefulUs), size);
+        Call call = new Call(request, kind, nowUs, usefulUs, size);
         call.beyondShare = beyondShare(nowUs, request.tenant());
         calls.put(request.id(), call);
         retries = Math.min(RETRY_SAVED, retries + RETRY_EARNED);
@@ -502,10 +502,8 @@
         Attempt attempt = new Attempt(call, s, nowUs, load(nowUs, s) + call.size,
                 probesEarned == 0 || s.reportUntilUs > nowUs);
         call.attempts.add(attempt);
-        if (callUs > 0) {
-            attempt.overdueAtUs = nowUs + (long) (CALL_OVERDUE * callUs * attempt.ahead);
-            sent.add(attempt);
-            wake(sent.peek().overdueAtUs);
+        if (!call.arriving) {
+            expect(nowUs, attempt);
         }
         call.out++;
         s.inFlight++;
@@ -518,6 +516,40 @@
         actions.send(call.request.id(), s.id, call.deadlineUs - nowUs);
     }
 
+    /** Notes when an attempt is overdue, counted from the last byte of its request. */
+    private void expect(long nowUs, Attempt attempt) {
+        if (callUs > 0) {
+            attempt.overdueAtUs = nowUs + (long) (CALL_OVERDUE * callUs * attempt.ahead);
+            sent.add(attempt);
+            wake(sent.peek().overdueAtUs);
+        }
+    }
+
+    @Override
+    public void requestWhole(long nowUs, String id, long timeLeftUs) {
+        Call call = calls.get(id);
+        if (call == null || !call.arriving) {
+            return;
+        }
+        call.arriving = false;
+        call.deadlineUs = nowUs + timeLeftUs;
+        call.endAtUs = nowUs + Math.min(timeLeftUs, call.usefulUs);
+        for (Attempt a : call.attempts) {
+            if (a.out) {
+                expect(nowUs, a);
+            }
+        }
+        advance(nowUs);
+    }
+
+    @Override
+    public void bodySpent(long nowUs, String id) {
+        Call call = calls.get(id);
+        if (call != null) {
+            call.spent = true;
+        }
+    }
+
     /**
      * The server whose turn it is among those of the circle that this call may use and that are wanted.
      * Where all near ones are too crowded or slow for it, the circle goes on among the far ones: traffic
@@ -688,7 +720,7 @@
 
     /** Whether the call may be sent once more, after its attempts so far. */
     private boolean mayRepeat(long nowUs, Call call) {
-        if (call.attempts.size() >= settings.limits().maxAttempts() || nowUs >= call.endAtUs) {
+        if (call.spent || call.attempts.size() >= settings.limits().maxAttempts() || nowUs >= call.endAtUs) {
             return false;
         }
         Attempt mayHaveRun = call.mayHaveRun();
@@ -857,7 +889,14 @@
 
     @Override
     public void streamStarted(long nowUs, String id, int attempt, String server, long elapsedUs) {
-        // The attempt is the client's now, and its outcome will end the call.
+        Call call = calls.get(id);
+        if (call != null && attempt < call.attempts.size() && !call.ended) {
+            // The attempt is the client's now, and its outcome will end the call. No other is of any use.
+            call.bound = call.attempts.get(attempt);
+            call.ended = true;
+            cancelRest(call);
+            advance(nowUs);
+        }
     }
 
     @Override
@@ -873,7 +912,7 @@
 
     private void cancelRest(Call call) {
         for (int i = 0; i < call.attempts.size() && settings.limits().cancel(); i++) {
-            if (call.attempts.get(i).out) {
+            if (call.attempts.get(i).out && call.attempts.get(i) != call.bound) {
                 actions.cancel(call.request.id(), i);
             }
         }
@@ -1051,9 +1090,9 @@
         if (askAtUs != Long.MAX_VALUE) {
             wake(askAtUs);
         }
-        while (!sent.isEmpty() && (!sent.peek().out || sent.peek().overdueAtUs <= nowUs)) {
+        while (!sent.isEmpty() && (!sent.peek().waitsForAnswer() || sent.peek().overdueAtUs <= nowUs)) {
             Attempt oldest = sent.poll();
-            if (oldest.out) {
+            if (oldest.waitsForAnswer()) {
                 oldest.overdue = true;
                 silent(nowUs, oldest.server);
                 hedge(nowUs, oldest.call);
--- a/src/main/java/passhatch/proxy/AnswerDecoder.java
+++ b/src/main/java/passhatch/proxy/AnswerDecoder.java
@@ -1,11 +1,19 @@
 package passhatch.proxy;
 
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.util.AsciiString;
 
 /** Netty's decoder of answers, held to the letter where it is lenient. */
 final class AnswerDecoder extends HttpResponseDecoder {
 
+    private static final int MOST_PART = 1 << 15;
+
+    /** A decoder that hands bodies on in parts as large as they are read. */
+    AnswerDecoder() {
+        super(new HttpDecoderConfig().setMaxChunkSize(MOST_PART));
+    }
+
     /**
      * Guards against a spoilt head: of a line with no colon after its first word the decoder would make a
      * header, and what follows such a head is not the answer that the backend meant.
--- a/src/main/java/passhatch/proxy/AnswerReader.java
+++ b/src/main/java/passhatch/proxy/AnswerReader.java
@@ -20,14 +20,18 @@
  */
 final class AnswerReader {
 
-    private static final int MOST_BODY = 1 << 16;
+    /** A longer answer is passed on as it comes. */
+    private static final int HELD = 1 << 16;
+    /** None is longer: what tells of more is spoilt. */
+    private static final long MOST_BODY = RequestReader.MOST_BODY;
     /** Interim answers before the final one; a backend that sends more will not come to an end. */
     private static final int MOST_INTERIM = 16;
 
-    private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private final ByteArrayOutputStream body = new ByteArrayOutputStream(0);
     private HttpResponse head;
     private int interim;
     private boolean spoilt;
+    private boolean cutShort;
 
     /** Takes the next part; gives the result once the answer is whole or spoilt, until then null. */
     Result read(HttpObject part) throws IOException {
@@ -35,15 +39,17 @@
             head = response;
         }
         spoilt |= part.decoderResult().isFailure() || head == null || isOdd(head);
-        if (!spoilt && part instanceof HttpContent content) {
-            spoilt = body.size() + content.content().readableBytes() > MOST_BODY;
-            if (!spoilt) {
-                content.content().readBytes(body, content.content().readableBytes());
-            }
-        }
         if (spoilt) {
             return Result.without(Outcome.ERROR);
         }
+        if (part instanceof HttpContent content) {
+            content.content().readBytes(body, content.content().readableBytes());
+            if (body.size() > HELD && !isServed()) {
+                // Its status says it all, and nobody wants the rest.
+                cutShort = true;
+                return result();
+            }
+        }
         if (!(part instanceof LastHttpContent)) {
             return null;
         }
@@ -55,25 +61,52 @@
         return result();
     }
 
+    /** Whether some of an answer is in that is too long to be held. */
+    boolean isLong() {
+        return begun() && (length() > HELD || body.size() > HELD);
+    }
+
+    /** Whether some of an answer is in that may turn out to be long. */
+    boolean mayGetLong() {
+        return begun() && length() < 0;
+    }
+
+    private boolean begun() {
+        return head != null && isServed() && body.size() > 0;
+    }
+
+    private boolean isServed() {
+        return head.status().equals(HttpResponseStatus.OK);
+    }
+
+    /** As told by its head, or -1. */
+    long length() {
+        return HttpUtil.isTransferEncodingChunked(head) ? -1 : HttpUtil.getContentLength(head, -1L);
+    }
+
+    /** What is in of an answer that is passed on as it comes from now on. */
+    byte[] takeHeld() {
+        byte[] bytes = body.toByteArray();
+        body.reset();
+        return bytes;
+    }
+
     /** Whether the connection can carry another request after this answer. */
     boolean keepsAlive() {
-        return !spoilt && HttpUtil.isKeepAlive(head);
+        return !spoilt && !cutShort && HttpUtil.isKeepAlive(head) && (length() >= 0 || isEmpty(head)
+                || HttpUtil.isTransferEncodingChunked(head));
     }
 
-    /**
-     * Whether nothing good can follow this head. An answer that only ends with its connection cannot be told
-     * from one that is cut short; and nothing was asked that a change of protocol or a larger body answers.
-     */
+    /** Whether nothing good can follow this head: nothing was asked that a change of protocol answers. */
     private static boolean isOdd(HttpResponse head) {
-        if (head.protocolVersion().majorVersion() != 1
-                || head.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
-            return true;
-        }
-        boolean empty = head.status().codeClass() == HttpStatusClass.INFORMATIONAL
+        return head.protocolVersion().majorVersion() != 1 || HttpUtil.getContentLength(head, 0L) > MOST_BODY
+                || head.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS);
+    }
+
+    private static boolean isEmpty(HttpResponse head) {
+        return head.status().codeClass() == HttpStatusClass.INFORMATIONAL
                 || head.status().equals(HttpResponseStatus.NO_CONTENT)
                 || head.status().equals(HttpResponseStatus.NOT_MODIFIED);
-        return !empty && !HttpUtil.isTransferEncodingChunked(head)
-                && (!HttpUtil.isContentLengthSet(head) || HttpUtil.getContentLength(head, 0L) > MOST_BODY);
     }
 
     private Result result() {
--- a/src/main/java/passhatch/proxy/BackendPool.java
+++ b/src/main/java/passhatch/proxy/BackendPool.java
@@ -1,8 +1,12 @@
 package passhatch.proxy;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -10,11 +14,16 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
 import java.io.IOException;
@@ -23,6 +32,7 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -39,6 +49,13 @@
  */
 final class BackendPool {
 
+    /** A backend that takes nothing of a body, or gives nothing of a long answer, for so long hangs. */
+    private static final long MOST_STALL_US = 4_000_000;
+    /** An answer of unknown length is passed on as it comes once it takes longer than this. */
+    private static final long HOLD_MS = 150;
+    /** Bytes on their way to a peer beyond which no more are read for it. */
+    static final WriteBufferWaterMark WRITE_MARKS = new WriteBufferWaterMark(1 << 14, 1 << 15);
+    static final int MOST_READ = 1 << 15;
     /** Idle connections kept to one backend: more only fill its table. */
     private static final int MOST_IDLE = 8;
     /** Part of the backends' idle time after which a connection is closed, before they may close it. */
@@ -62,25 +79,64 @@
 
     /** Hears how a call ended, once. */
     interface Listener {
+        /**
+         * Its answer is too long to be held, and begins.
+         *
+         * @param length of the answer, or -1
+         * @param readOn called when more may be given after the sink was not writable
+         * @return where it goes; null where it is not wanted
+         */
+        default AnswerSink streams(long length, Runnable readOn) {
+            return null;
+        }
+
         void done(Result result);
     }
 
+    /** Where a long answer goes as it comes. */
+    interface AnswerSink {
+        /** Takes bytes, and the duty to release them. */
+        void part(ByteBuf bytes);
+
+        boolean isWritable();
+
+        /** The answer is whole. */
+        void end();
+
+        /** It will not come to its end. */
+        void broken();
+    }
+
     /** A call that may be given up. */
     interface Handle {
         /** Closes its connection; it ends as cancelled unless it has ended already. */
         void cancel();
+
+        /** Gives it so long from now. */
+        void expireIn(long us);
     }
 
     /**
      * What to send.
      *
-     * @param message makes the message, when it can be written
+     * @param message makes the message, when it can be written: whole, or the head for the body
+     * @param body what follows that head; null where the message is whole
      * @param wanted asked just before it is written: false where it must not be sent any more
      * @param written called once its last byte is written
+     * @param timeoutUs time that it has; {@link #NO_TIMEOUT} where that is not known yet
      * @param timeout how it ends when its time is up after it was written
      */
-    record Outgoing(Supplier<FullHttpRequest> message, BooleanSupplier wanted, Runnable written,
-            long timeoutUs, Outcome timeout) { }
+    record Outgoing(Supplier<HttpRequest> message, RequestBody body, BooleanSupplier wanted,
+            Runnable written, long timeoutUs, Outcome timeout) {
+
+        /** Something that is whole. */
+        Outgoing(Supplier<HttpRequest> message, BooleanSupplier wanted, Runnable written, long timeoutUs,
+                Outcome timeout) {
+            this(message, null, wanted, written, timeoutUs, timeout);
+        }
+    }
+
+    static final long NO_TIMEOUT = Long.MAX_VALUE;
 
     private final EventLoop loop;
     private final Clock clock;
@@ -106,6 +162,9 @@
         this.mostOpen = mostOpen;
         this.bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.WRITE_BUFFER_WATER_MARK, WRITE_MARKS)
+                .option(ChannelOption.RECVBUF_ALLOCATOR,
+                        new AdaptiveRecvByteBufAllocator(64, 2048, MOST_READ))
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS,
                         (int) Math.max(1, TimeUnit.MICROSECONDS.toMillis(connectTimeoutUs)));
     }
@@ -127,6 +186,7 @@
             }
         }
         idle.values().removeIf(Deque::isEmpty);
+        List.copyOf(open).forEach(c -> c.endIfStalled(clock.nowUs() - MOST_STALL_US));
     }
 
     /** Closes the idle connections to a backend. */
@@ -150,7 +210,9 @@
             loop.execute(() -> call.end(Result.without(Outcome.NOT_SENT)));
             return call;
         }
-        call.timeout = loop.schedule(call::timeUp, Math.max(0, outgoing.timeoutUs()), TimeUnit.MICROSECONDS);
+        if (outgoing.timeoutUs() != NO_TIMEOUT) {
+            call.expireIn(outgoing.timeoutUs());
+        }
         if (kept != null) {
             kept.call = call;
             call.connection = kept;
@@ -222,6 +284,9 @@
         /** Its writing has begun: only now can there be an answer. */
         boolean begun;
         boolean ended;
+        /** The writing of its body, and where its long answer goes; null where there is none. */
+        Upload upload;
+        AnswerSink sink;
 
         Call(Outgoing outgoing, Listener listener) {
             this.outgoing = outgoing;
@@ -233,6 +298,16 @@
             giveUp(Outcome.CANCELLED);
         }
 
+        @Override
+        public void expireIn(long us) {
+            if (timeout != null) {
+                timeout.cancel(false);
+            }
+            if (!ended && sink == null) {
+                timeout = loop.schedule(this::timeUp, Math.max(0, us), TimeUnit.MICROSECONDS);
+            }
+        }
+
         private void timeUp() {
             // What was never written whole cannot run: the connection did not come up in time.
             giveUp(written ? outgoing.timeout() : Outcome.CONNECT_FAILED);
@@ -254,11 +329,42 @@
                 if (timeout != null) {
                     timeout.cancel(false);
                 }
+                if (upload != null) {
+                    outgoing.body().detach(upload);
+                }
                 listener.done(result);
             }
         }
     }
 
+    /** The writing of a body as it comes in. */
+    private final class Upload implements RequestBody.Receiver {
+        private final Call call;
+        private final Channel channel;
+
+        Upload(Call call, Channel channel) {
+            this.call = call;
+            this.channel = channel;
+        }
+
+        @Override
+        public void part(ByteBuf bytes) {
+            call.connection.movedUs = clock.nowUs();
+            channel.writeAndFlush(new DefaultHttpContent(bytes));
+        }
+
+        @Override
+        public void end() {
+            channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
+                    .addListener(call.connection.wrote(call));
+        }
+
+        @Override
+        public boolean isWritable() {
+            return channel.isWritable();
+        }
+    }
+
     /** A connection, and the call that it carries now. */
     private final class Connection extends SimpleChannelInboundHandler<HttpObject> {
         private final Target target;
@@ -268,9 +374,13 @@
         private Result result;
         /** More has come than the answer. */
         private boolean surplus;
+        /** It broke, and did not end: what came last is not whole. */
+        private boolean cut;
         Channel channel;
         Call call;
         long idleSinceUs;
+        /** When bytes of a long body or answer last moved. */
+        long movedUs;
 
         Connection(Target target) {
             this.target = target;
@@ -292,17 +402,59 @@
                 toWrite.end(Result.without(Outcome.NOT_SENT));
             } else {
                 toWrite.begun = true;
-                channel.writeAndFlush(toWrite.outgoing.message().get()).addListener(done -> {
-                    if (done.isSuccess()) {
-                        toWrite.written = true;
-                        toWrite.outgoing.written().run();
-                    } else {
-                        channel.close();
-                    }
-                });
+                HttpRequest message = toWrite.outgoing.message().get();
+                if (message instanceof FullHttpRequest) {
+                    channel.writeAndFlush(message).addListener(wrote(toWrite));
+                } else {
+                    channel.write(message);
+                    toWrite.upload = new Upload(toWrite, channel);
+                    toWrite.outgoing.body().attach(toWrite.upload);
+                }
             }
         }
 
+        /** Hears that the last byte of a call was written. */
+        private ChannelFutureListener wrote(Call wrote) {
+            return done -> {
+                if (!done.isSuccess()) {
+                    abort();
+                } else if (!wrote.ended) {
+                    wrote.written = true;
+                    wrote.outgoing.written().run();
+                }
+            };
+        }
+
+        @Override
+        public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+            if (call != null && call.upload != null && !call.written && channel.isWritable()) {
+                movedUs = clock.nowUs();
+                call.outgoing.body().resume();
+            }
+        }
+
+        /** Guards against a backend that hangs in the middle, where no time-out runs. */
+        void endIfStalled(long beforeUs) {
+            if (call == null || movedUs > beforeUs) {
+                return;
+            }
+            if (call.sink != null) {
+                if (channel.config().isAutoRead()) {
+                    log.line(Kind.BACKEND, "a long answer from " + target.id() + " does not go on");
+                    abort();
+                }
+            } else if (call.upload != null && !call.written && !channel.isWritable()) {
+                log.line(Kind.BACKEND, "a body to " + target.id() + " is not taken");
+                call.giveUp(Outcome.CONNECT_FAILED);
+            }
+        }
+
+        /** Closes it in the middle: what is in of an answer that ends with its connection is not whole. */
+        private void abort() {
+            cut = true;
+            channel.close();
+        }
+
         /** The connection is gone: before the last byte was written the request cannot have run. */
         void broken() {
             if (result != null) {
@@ -311,7 +463,8 @@
             Call lost = call;
             call = null;
             if (lost != null) {
-                lost.end(Result.without(lost.written ? Outcome.RESET : Outcome.CONNECT_FAILED));
+                boolean mayHaveRun = lost.written || lost.sink != null;
+                lost.end(Result.without(mayHaveRun ? Outcome.RESET : Outcome.CONNECT_FAILED));
             }
         }
 
@@ -321,12 +474,71 @@
                 surplus = true;
                 return;
             }
-            result = reader.read(part);
+            if (call == null || cut) {
+                return;
+            }
+            if (call.sink != null) {
+                passOn(part);
+            } else {
+                boolean first = !reader.mayGetLong();
+                result = reader.read(part);
+                if (result == null && reader.isLong()) {
+                    stream();
+                } else if (result == null && first && reader.mayGetLong()) {
+                    AnswerReader same = reader;
+                    loop.schedule(() -> {
+                        if (reader == same && result == null && call != null && call.sink == null) {
+                            stream();
+                        }
+                    }, HOLD_MS, TimeUnit.MILLISECONDS);
+                }
+            }
             if (result != null) {
                 loop.execute(this::finish);
             }
         }
 
+        /** From now on the answer is its client's, as it comes. */
+        private void stream() {
+            AnswerSink sink = call.listener.streams(reader.length(), this::readOn);
+            if (sink == null) {
+                call.giveUp(Outcome.CANCELLED);
+                return;
+            }
+            call.sink = sink;
+            if (call.timeout != null) {
+                call.timeout.cancel(false);
+            }
+            pass(Unpooled.wrappedBuffer(reader.takeHeld()));
+        }
+
+        private void passOn(HttpObject part) {
+            if (part.decoderResult().isFailure()) {
+                abort();
+                return;
+            }
+            if (part instanceof HttpContent content && content.content().isReadable()) {
+                pass(content.content().retain());
+            }
+            if (part instanceof LastHttpContent && call != null) {
+                call.sink.end();
+                result = Result.without(Outcome.OK);
+            }
+        }
+
+        private void pass(ByteBuf bytes) {
+            movedUs = clock.nowUs();
+            call.sink.part(bytes);
+            if (call != null && !call.sink.isWritable()) {
+                channel.config().setAutoRead(false);
+            }
+        }
+
+        private void readOn() {
+            movedUs = clock.nowUs();
+            channel.config().setAutoRead(true);
+        }
+
         /**
          * Ends the call, in a step of the loop after the one that read the answer. Guards against the answer
          * of another request: what stands behind an answer must have come in before the connection carries
@@ -343,6 +555,7 @@
             boolean clean = !surplus && !decoder.holdsMore() && answered.written && reader.keepsAlive();
             reader = new AnswerReader();
             if (clean && channel.isActive()) {
+                channel.config().setAutoRead(true);
                 keep();
             } else {
                 channel.close();
@@ -370,6 +583,7 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            cut = true;
             log.line(Kind.BACKEND, "connection to " + target.address() + ": " + cause);
             ctx.close();
         }
--- a/src/main/java/passhatch/proxy/ClientConnection.java
+++ b/src/main/java/passhatch/proxy/ClientConnection.java
@@ -1,25 +1,33 @@
 package passhatch.proxy;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.flow.FlowControlHandler;
 import io.netty.handler.timeout.WriteTimeoutHandler;
-import java.io.IOException;
 import java.util.ArrayDeque;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 
 /** One client's connection. Answers leave in the order of the requests. */
@@ -30,22 +38,29 @@
     /** A connection is closed so long after an answer that ends it: at once, a reset could overtake it. */
     private static final long LINGER_MS = 200;
 
+    /** A request that is answered before all of it is in may go on for so long. */
+    private static final long MOST_REST_MS = 2_000;
+
     /** A client that takes nothing of an answer for so long is gone. */
     private static final int WRITE_TIMEOUT_S = 10;
 
     /** A request on a connection, until its answer is written. */
-    private static final class Turn implements ProxyLoop.Responder {
+    private static final class Turn implements ProxyLoop.Responder, RequestBody.Source {
         private final ClientConnection connection;
+        private final HttpRequest head;
+        private final RequestBody body;
         private final boolean keepAlive;
-        private final int reserved;
         /** Its id while the proxy holds it. */
         private String id;
         private Answer answer;
+        /** Its answer, where that is passed on as it comes. */
+        private AnswerStream stream;
 
-        Turn(ClientConnection connection, boolean keepAlive, int reserved) {
+        Turn(ClientConnection connection, HttpRequest head, RequestBody body, boolean keepAlive) {
             this.connection = connection;
+            this.head = head;
+            this.body = body;
             this.keepAlive = keepAlive;
-            this.reserved = reserved;
         }
 
         @Override
@@ -53,6 +68,144 @@
             answer = given;
             connection.writeAnswers();
         }
+
+        @Override
+        public BackendPool.AnswerSink stream(long length, Runnable readOn) {
+            stream = connection.new AnswerStream(this, length, readOn);
+            connection.writeAnswers();
+            return stream;
+        }
+
+        @Override
+        public void readOn() {
+            connection.readOn();
+        }
+
+        @Override
+        public void spent() {
+            if (id != null) {
+                connection.server.proxy().spent(id);
+            }
+        }
+
+        /** The id by which the proxy holds it while it owes an answer, or null. */
+        private String owed() {
+            return answer == null && (stream == null || !stream.ended) ? id : null;
+        }
+
+        private void drop() {
+            if (body != null) {
+                body.drop();
+            }
+            if (stream != null) {
+                stream.release();
+            }
+        }
+    }
+
+    /** An answer that is passed on as it comes; it waits for those before it. */
+    private final class AnswerStream implements BackendPool.AnswerSink {
+        private final Turn turn;
+        private final long length;
+        private final Runnable readOn;
+        /** What has come before its turn has: no more than one read brings. */
+        private final ArrayDeque<ByteBuf> early = new ArrayDeque<>();
+        private boolean begun;
+        private boolean ended;
+        private boolean released;
+        private boolean keepsAlive;
+        private ChannelFuture last;
+
+        AnswerStream(Turn turn, long length, Runnable readOn) {
+            this.turn = turn;
+            this.length = length;
+            this.readOn = readOn;
+        }
+
+        @Override
+        public void part(ByteBuf bytes) {
+            if (released) {
+                bytes.release();
+            } else if (begun) {
+                last = channel.writeAndFlush(new DefaultHttpContent(bytes));
+            } else {
+                early.add(bytes);
+            }
+        }
+
+        @Override
+        public boolean isWritable() {
+            return begun && channel.isWritable();
+        }
+
+        @Override
+        public void end() {
+            ended = true;
+            writeAnswers();
+        }
+
+        /** The client can tell: the length, or the last chunk, is missing, or the connection is reset. */
+        @Override
+        public void broken() {
+            ended = true;
+            if (!begun) {
+                release();
+                turn.stream = null;
+                turn.answer(Answer.failed());
+                return;
+            }
+            if (!isFramed()) {
+                channel.config().setOption(ChannelOption.SO_LINGER, 0);
+            }
+            noMore = true;
+            close();
+        }
+
+        private boolean isFramed() {
+            return length >= 0 || isChunked();
+        }
+
+        private boolean isChunked() {
+            return length < 0 && turn.head.protocolVersion().equals(HttpVersion.HTTP_1_1);
+        }
+
+        /** Its turn has come. */
+        private void begin() {
+            begun = true;
+            HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+            if (length >= 0) {
+                response.headers().set(HttpHeaderNames.CONTENT_LENGTH, length);
+            } else if (isChunked()) {
+                response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+            }
+            keepsAlive = isFramed() && keepsAlive(turn);
+            if (!keepsAlive) {
+                response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+            }
+            channel.write(response);
+            while (!early.isEmpty()) {
+                channel.write(new DefaultHttpContent(early.poll()));
+            }
+            channel.flush();
+            if (channel.isWritable()) {
+                readOn.run();
+            }
+        }
+
+        /** Its last byte is in. */
+        private void finish() {
+            answeredUs = server.nowUs();
+            last = channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
+            if (!keepsAlive) {
+                ClientConnection.this.end(last);
+            }
+        }
+
+        private void release() {
+            released = true;
+            early.forEach(ByteBuf::release);
+            early.clear();
+        }
     }
 
     private final ClientServer server;
@@ -60,6 +213,9 @@
     private final RequestDecoder decoder = new RequestDecoder();
     private final RequestReader reader;
     private final ArrayDeque<Turn> turns = new ArrayDeque<>();
+    private final ArrivalPace pace = new ArrivalPace();
+    /** The turn of a request that was taken while it still came in; null where none is. */
+    private Turn arriving;
     private final long connectedUs;
     /** When the request that is coming in began to; 0 where none is. */
     private long partSinceUs;
@@ -70,6 +226,9 @@
     private boolean readsOn;
     /** Nothing more is read: the connection ends with the answers to what is open. */
     private boolean noMore;
+    /** The connection ends with the request that is coming in, of which nothing is wanted any more. */
+    private boolean endsWithRequest;
+    private boolean writing;
     /** What came last could not be taken; there may be more of it, unread. */
     private boolean turnedDown;
 
@@ -104,10 +263,13 @@
      * Ends a connection whose first request does not come, or on which one does not come to an end. Its time
      * runs from the start, however often a few bytes come.
      */
-    void endIfStalled(long nowUs, long mostUs, long mostUnaskedUs, long mostIdleUs) {
+    void endIfStalled(long nowUs, long mostUnaskedUs, long mostIdleUs) {
         if (partSinceUs > 0) {
-            long sinceUs = hasAsked() || !turns.isEmpty() ? partSinceUs : connectedUs;
-            if (nowUs - sinceUs > mostUs) {
+            long sinceUs = hasAsked() || !turns.isEmpty() && arriving == null ? partSinceUs : connectedUs;
+            if (reader.isFull()) {
+                pace.hold(nowUs);
+            }
+            if (pace.isOver(nowUs, sinceUs)) {
                 server.say("a request did not come to an end");
                 turnDown(HttpResponseStatus.REQUEST_TIMEOUT);
             }
@@ -127,46 +289,76 @@
     }
 
     @Override
-    protected void channelRead0(ChannelHandlerContext ctx, HttpObject part) throws IOException {
+    protected void channelRead0(ChannelHandlerContext ctx, HttpObject part) {
         if (noMore) {
+            if (endsWithRequest && part instanceof LastHttpContent) {
+                close();
+            }
             return;
         }
-        RequestReader.Whole whole;
+        RequestReader.Incoming incoming;
         try {
-            whole = reader.read(part);
+            incoming = reader.read(part);
         } catch (RequestReader.Unreadable bad) {
             server.say("request refused with " + bad.status() + ": " + bad.getMessage());
             turnDown(bad.status());
             return;
         }
-        if (whole == null) {
+        if (part instanceof HttpRequest) {
+            pace.begin();
             if (turns.isEmpty() && reader.isWaitedFor(part)) {
                 channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
                         HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
             }
-            return;
         }
-        partSinceUs = 0;
-        Turn turn = new Turn(this, HttpUtil.isKeepAlive(whole.head()), whole.reserved());
+        if (part instanceof HttpContent content) {
+            pace.got(server.nowUs(), content.content().readableBytes());
+        }
+        if (incoming.body().isWhole()) {
+            partSinceUs = 0;
+            inStep++;
+            if (arriving == null) {
+                begin(incoming);
+            } else {
+                Turn whole = arriving;
+                arriving = null;
+                noMore = !whole.keepAlive;
+                server.proxy().whole(whole.id);
+            }
+        } else if (arriving == null && incoming.body().isLong()) {
+            begin(incoming);
+        }
+        paceReading();
+    }
+
+    /** Takes a request that is whole, or too long to wait until it is. */
+    private void begin(RequestReader.Incoming incoming) {
+        boolean whole = incoming.body().isWhole();
+        Turn turn = new Turn(this, incoming.head(), incoming.body(), HttpUtil.isKeepAlive(incoming.head()));
         turns.add(turn);
-        noMore = !turn.keepAlive;
-        inStep++;
+        incoming.body().source(turn);
+        arriving = whole ? null : turn;
+        noMore = whole && !turn.keepAlive;
         paceReading();
         try {
-            take(turn, whole);
+            take(turn, incoming);
         } catch (RequestParser.BadRequest bad) {
             server.say("request refused with " + bad.status() + ": " + bad.getMessage());
-            turn.answer(Answer.of(bad.status()));
+            if (whole) {
+                turn.answer(Answer.of(bad.status()));
+            } else {
+                turnDown(bad.status());
+            }
         }
     }
 
-    private void take(Turn turn, RequestReader.Whole whole) throws RequestParser.BadRequest {
-        if (whole.head().method().equals(HttpMethod.GET) && whole.head().uri().equals("/ready")) {
+    private void take(Turn turn, RequestReader.Incoming incoming) throws RequestParser.BadRequest {
+        if (incoming.head().method().equals(HttpMethod.GET) && incoming.head().uri().equals("/ready")) {
             turn.answer(Answer.of(server.isReady() ? HttpResponseStatus.OK
                     : HttpResponseStatus.SERVICE_UNAVAILABLE));
             return;
         }
-        ProxyRequest request = server.parse(whole);
+        ProxyRequest request = server.parse(incoming);
         turn.id = request.id();
         if (!server.proxy().take(request, turn)) {
             // It is another's: nothing that becomes of this connection may touch it.
@@ -192,7 +384,7 @@
      * are open or are handled in one step of the loop, and none is read while answers are not taken.
      */
     private void paceReading() {
-        if (noMore || turns.size() >= MOST_PIPELINED || inStep >= MOST_PIPELINED || !channel.isWritable()) {
+        if (!mayRead() || inStep >= MOST_PIPELINED) {
             channel.config().setAutoRead(false);
         }
         if (inStep >= MOST_PIPELINED) {
@@ -200,6 +392,11 @@
         }
     }
 
+    private boolean mayRead() {
+        return endsWithRequest || !noMore && turns.size() < MOST_PIPELINED + (arriving == null ? 0 : 1)
+                && channel.isWritable() && !reader.isFull();
+    }
+
     /** Reads on in a later step: within this one it would go ever deeper through what is read already. */
     private void readOn() {
         if (!readsOn && !channel.config().isAutoRead()) {
@@ -207,7 +404,7 @@
             channel.eventLoop().execute(() -> {
                 readsOn = false;
                 inStep = 0;
-                if (!noMore && turns.size() < MOST_PIPELINED && channel.isWritable()) {
+                if (mayRead()) {
                     channel.config().setAutoRead(true);
                 }
             });
@@ -218,6 +415,10 @@
     public void channelWritabilityChanged(ChannelHandlerContext ctx) {
         paceReading();
         readOn();
+        Turn first = turns.peek();
+        if (first != null && first.stream != null && first.stream.isWritable() && !first.stream.ended) {
+            first.stream.readOn.run();
+        }
     }
 
     /** Answers what cannot be taken, after what came before it, and reads no further byte. */
@@ -225,24 +426,62 @@
         noMore = true;
         turnedDown = true;
         partSinceUs = 0;
-        reader.drop();
         paceReading();
-        Turn turn = new Turn(this, false, 0);
-        turns.add(turn);
-        turn.answer(Answer.of(status));
+        Turn turn = arriving;
+        arriving = null;
+        if (turn == null) {
+            reader.drop();
+            turn = new Turn(this, null, null, false);
+            turns.add(turn);
+        } else if (turn.owed() != null) {
+            // It is not the request that its client meant, and must not run.
+            server.proxy().clientGone(turn.id);
+        }
+        if (turn.stream != null) {
+            turn.stream.broken();
+        } else if (turn.answer == null) {
+            turn.answer(Answer.of(status));
+        }
     }
 
     /** Writes what is answered, up to the first request that is not. */
     private void writeAnswers() {
-        while (!turns.isEmpty() && turns.peek().answer != null) {
-            Turn turn = turns.poll();
-            server.budget().release(turn.reserved);
-            // Only the last of those that are open may end the connection.
-            write(turn.answer, turn.keepAlive && !(server.answersEndConnections() && turns.isEmpty()));
+        if (writing) {
+            return;
+        }
+        writing = true;
+        boolean goesOn = true;
+        while (goesOn && !turns.isEmpty()) {
+            Turn turn = turns.peek();
+            if (turn.answer != null) {
+                turns.poll();
+                write(turn.answer, keepsAlive(turn));
+                turn.drop();
+            } else if (turn.stream != null) {
+                if (!turn.stream.begun) {
+                    turn.stream.begin();
+                }
+                goesOn = turn.stream.ended && !turn.stream.released;
+                if (goesOn) {
+                    turns.poll();
+                    turn.stream.finish();
+                    turn.drop();
+                }
+            } else {
+                goesOn = false;
+            }
         }
+        writing = false;
         readOn();
     }
 
+    /** Only the last of the requests that are open may end the connection; one that is not all in must. */
+    private boolean keepsAlive(Turn turn) {
+        boolean last = turns.isEmpty() || turns.size() == 1 && turns.peek() == turn;
+        return turn.keepAlive && turn != arriving
+                && !(last && (turnedDown || server.answersEndConnections()));
+    }
+
     private void write(Answer answer, boolean keepAlive) {
         DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
                 answer.status(), Unpooled.wrappedBuffer(answer.body()));
@@ -263,6 +502,15 @@
     /** Lets the answer arrive and then closes the connection, on which nothing more is read. */
     private void end(ChannelFuture written) {
         noMore = true;
+        if (arriving != null) {
+            // The rest of its request is read and let go: a reset could overtake the answer.
+            arriving = null;
+            endsWithRequest = true;
+            partSinceUs = 0;
+            channel.eventLoop().schedule(this::close, MOST_REST_MS, TimeUnit.MILLISECONDS);
+            readOn();
+            return;
+        }
         channel.config().setAutoRead(false);
         written.addListener(done -> {
             if (turnedDown && done.isSuccess() && channel.isActive()) {
@@ -275,13 +523,16 @@
 
     /** No answer is owed any more for what is open here. */
     private void abandon() {
-        for (Turn turn : turns) {
-            server.budget().release(turn.reserved);
-            if (turn.answer == null && turn.id != null) {
-                server.proxy().clientGone(turn.id);
+        List<Turn> left = List.copyOf(turns);
+        turns.clear();
+        arriving = null;
+        for (Turn turn : left) {
+            String owed = turn.owed();
+            turn.drop();
+            if (owed != null) {
+                server.proxy().clientGone(owed);
             }
         }
-        turns.clear();
         reader.drop();
         partSinceUs = 0;
     }
@@ -295,7 +546,7 @@
     }
 
     private void fail() {
-        boolean owed = !turns.isEmpty();
+        boolean owed = !turns.isEmpty() && (turns.peek().stream == null || !turns.peek().stream.begun);
         noMore = true;
         abandon();
         if (owed) {
--- a/src/main/java/passhatch/proxy/ClientServer.java
+++ b/src/main/java/passhatch/proxy/ClientServer.java
@@ -1,6 +1,7 @@
 package passhatch.proxy;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
@@ -21,7 +22,7 @@
     private static final int BACKLOG = 1024;
     /** How often connections are looked through for those that stall. */
     private static final long SWEEP_US = 100_000;
-    /** A request is whole so long after its connection was opened, or after its first byte on a kept one. */
+    /** A connection on which nothing is asked at all is closed after this long. */
     private static final long MOST_STALL_US = 2_600_000;
     /** A connection that is kept but not used is closed after this long. */
     private static final long MOST_IDLE_US = 15_000_000;
@@ -79,6 +80,9 @@
         ServerBootstrap bootstrap = new ServerBootstrap().group(loop).channelFactory(SharedListener::new)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, BackendPool.WRITE_MARKS)
+                .childOption(ChannelOption.RECVBUF_ALLOCATOR,
+                        new AdaptiveRecvByteBufAllocator(64, 2048, BackendPool.MOST_READ))
                 .childOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
@@ -210,7 +214,7 @@
         boolean closing = drain.closesIdle();
         long mostUnaskedUs = closing ? DRAINED_UNASKED_US : MOST_STALL_US;
         long mostIdleUs = closing ? 0 : MOST_IDLE_US;
-        List.copyOf(connections).forEach(c -> c.endIfStalled(now, MOST_STALL_US, mostUnaskedUs, mostIdleUs));
+        List.copyOf(connections).forEach(c -> c.endIfStalled(now, mostUnaskedUs, mostIdleUs));
         makeRoom();
         loop.schedule(this::sweep, SWEEP_US, TimeUnit.MICROSECONDS);
     }
@@ -225,8 +229,8 @@
         return proxy;
     }
 
-    ProxyRequest parse(RequestReader.Whole whole) throws RequestParser.BadRequest {
-        return parser.parse(whole, unreadUs());
+    ProxyRequest parse(RequestReader.Incoming incoming) throws RequestParser.BadRequest {
+        return parser.parse(incoming, incoming.body().isWhole() ? unreadUs() : 0);
     }
 
     boolean isReady() {
--- a/src/main/java/passhatch/proxy/ProxyLoop.java
+++ b/src/main/java/passhatch/proxy/ProxyLoop.java
@@ -3,9 +3,12 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
@@ -25,6 +28,7 @@
 import passhatch.Balancer.Outcome;
 import passhatch.Balancer.Request;
 import passhatch.Balancer.ServerStatus;
+import passhatch.proxy.BackendPool.AnswerSink;
 import passhatch.proxy.BackendPool.Handle;
 import passhatch.proxy.BackendPool.Outgoing;
 import passhatch.proxy.BackendPool.Result;
@@ -53,6 +57,14 @@
     /** Where the final answer of a request goes. */
     interface Responder {
         void answer(Answer answer);
+
+        /**
+         * Takes an answer as it comes, in place of {@link #answer}.
+         *
+         * @param length of it, or -1
+         * @param readOn called when more may be given after the sink was not writable
+         */
+        AnswerSink stream(long length, Runnable readOn);
     }
 
     /** A backend at its address, from when it is listed until it is gone and nothing is out there. */
@@ -82,6 +94,8 @@
     private boolean deciding;
     private boolean listed;
     private int unanswered;
+    /** Of these, the ones that are still coming in. */
+    private int arriving;
     private Runnable onIdle = () -> { };
     private Runnable onReady = () -> { };
 
@@ -120,7 +134,7 @@
 
     /** The figures as of now. */
     String counters() {
-        return figures.text(unanswered, balancer.census(clock.nowUs()));
+        return figures.text(unanswered - arriving, balancer.census(clock.nowUs()));
     }
 
     /** Whether a list ever named the backend. */
@@ -220,15 +234,23 @@
 
     private Handle sendTo(Backend backend, Outgoing outgoing, BackendPool.Listener listener) {
         backend.out++;
-        return pool.send(backend.target, outgoing, result -> {
-            backend.out--;
-            if (!backend.listed && backend.out == 0) {
-                backends.remove(backend.target.id(), backend);
+        return pool.send(backend.target, outgoing, new BackendPool.Listener() {
+            @Override
+            public AnswerSink streams(long length, Runnable readOn) {
+                return listener.streams(length, readOn);
             }
-            if (!backend.up) {
-                pool.closeIdle(backend.target);
+
+            @Override
+            public void done(Result result) {
+                backend.out--;
+                if (!backend.listed && backend.out == 0) {
+                    backends.remove(backend.target.id(), backend);
+                }
+                if (!backend.up) {
+                    pool.closeIdle(backend.target);
+                }
+                listener.done(result);
             }
-            listener.done(result);
         });
     }
 
@@ -240,21 +262,70 @@
             return false;
         }
         unanswered++;
-        e.backstop = loop.schedule(() -> overdue(e), Math.max(0, e.deadlineUs - now) + BACKSTOP_US,
-                TimeUnit.MICROSECONDS);
+        e.arriving = !request.body().isWhole();
+        arriving += e.arriving ? 1 : 0;
+        if (!e.arriving) {
+            watchOver(e);
+        }
         tell(e, () -> {
             long at = clock.nowUs();
             balancer.request(at, new Request(request.id(), request.requestClass(), request.tenant(),
-                    Math.max(0, e.deadlineUs - at), request.workUs(), request.retry()));
+                    Math.max(0, e.deadlineUs - at), request.workUs(), request.retry(), e.arriving));
         });
         return true;
     }
 
+    private void watchOver(Exchange e) {
+        e.backstop = loop.schedule(() -> overdue(e), Math.max(0, e.deadlineUs - clock.nowUs()) + BACKSTOP_US,
+                TimeUnit.MICROSECONDS);
+    }
+
+    /** The last byte of a request has come in that was taken before: its time counts from now on. */
+    void whole(String id) {
+        Exchange e = exchanges.get(id);
+        if (e == null || !e.arriving) {
+            return;
+        }
+        arrived(e);
+        if (e.answered || e.stream != null) {
+            return;
+        }
+        long now = clock.nowUs();
+        e.deadlineUs = now + e.request.timeLeftUs() - ANSWER_MARGIN_US;
+        watchOver(e);
+        for (Attempt attempt : e.attempts) {
+            if (attempt.outcome == null) {
+                attempt.sentAtUs = now;
+                if (attempt.handle != null) {
+                    attempt.handle.expireIn(e.deadlineUs - now);
+                }
+            }
+        }
+        tell(e, () -> balancer.requestWhole(clock.nowUs(), id, Math.max(0, e.deadlineUs - clock.nowUs())));
+    }
+
+    private void arrived(Exchange e) {
+        arriving -= e.arriving ? 1 : 0;
+        e.arriving = false;
+    }
+
+    /** Part of a request's body went out that is not held: it cannot be sent again whole. */
+    void spent(String id) {
+        Exchange e = exchanges.get(id);
+        if (e != null) {
+            tell(e, () -> balancer.bodySpent(clock.nowUs(), id));
+        }
+    }
+
     /** The client has closed its connection: no answer is owed any more. */
     void clientGone(String id) {
         Exchange e = exchanges.get(id);
         if (e != null && !e.answered) {
             end(e);
+            if (e.stream != null && e.stream.handle != null) {
+                // It is the client's: the module has nothing to call off any more.
+                e.stream.handle.cancel();
+            }
             tell(e, () -> balancer.clientGone(clock.nowUs(), id));
             forget(e);
         }
@@ -262,7 +333,9 @@
 
     /** Guards against a request that the module holds too long: it is answered here, just in time. */
     private void overdue(Exchange e) {
-        if (!e.answered) {
+        if (!e.answered && e.stream != null) {
+            e.stream.handle.cancel();
+        } else if (!e.answered) {
             log.line(Kind.REQUEST, "request " + e.request.id() + " was not answered in time by the module");
             answer(e, e.mayHaveRun() ? Answer.failed() : Answer.refused(0));
             tell(e, () -> balancer.clientGone(clock.nowUs(), e.request.id()));
@@ -277,11 +350,19 @@
 
     private void attemptEnded(Exchange e, Attempt attempt, Result result) {
         attempt.outcome = result.outcome();
-        long elapsedUs = clock.nowUs() - attempt.sentAtUs;
-        if (result.outcome() == Outcome.OK && !e.answered) {
+        boolean streamed = e.stream == attempt;
+        long elapsedUs = (streamed ? e.streamedAtUs : clock.nowUs()) - attempt.sentAtUs;
+        if (streamed && !e.answered) {
+            figures.ended(e.request.requestClass(), result.outcome() == Outcome.OK ? Figures.End.SUCCESS
+                    : Figures.End.ERROR);
+            end(e);
+            if (result.outcome() != Outcome.OK) {
+                e.sink.broken();
+            }
+        } else if (result.outcome() == Outcome.OK && !e.answered && e.stream == null) {
             answer(e, Answer.served(result.body()));
         }
-        boolean ended = e.answered;
+        boolean ended = e.answered || e.stream != null;
         if (result.outcome() != Outcome.OK && result.outcome() != Outcome.CANCELLED) {
             log.line(Kind.ATTEMPT, "attempt " + attempt.number + " of " + e.request.id() + " at "
                     + attempt.server + ": " + result.outcome() + " after " + elapsedUs + " us");
@@ -291,6 +372,22 @@
         forget(e);
     }
 
+    /** The answer to an attempt is too long to be held: from now on it is the client's, as it comes. */
+    private AnswerSink stream(Exchange e, Attempt attempt, long length, Runnable readOn) {
+        if (e.answered || e.stream != null) {
+            return null;
+        }
+        e.stream = attempt;
+        e.streamedAtUs = clock.nowUs();
+        if (e.backstop != null) {
+            e.backstop.cancel(false);
+        }
+        e.sink = e.responder.stream(length, readOn);
+        tell(e, () -> balancer.streamStarted(clock.nowUs(), e.request.id(), attempt.number, attempt.server,
+                e.streamedAtUs - attempt.sentAtUs));
+        return e.sink;
+    }
+
     /**
      * Tells the module of an event, after those before it. The module must not be called from within one of
      * its actions, so what an action brings about at once waits here until the module has returned.
@@ -306,7 +403,7 @@
                 event.tell().run();
             } catch (RuntimeException bug) {
                 log.bug("in the decision module", bug);
-                if (event.about() != null && !event.about().answered) {
+                if (event.about() != null && !event.about().answered && event.about().stream == null) {
                     answer(event.about(), Answer.failed());
                 }
             }
@@ -329,32 +426,52 @@
         e.attempts.add(attempt);
         long leftUs = e.deadlineUs - now;
         long waitUs = timeoutUs == 0 ? leftUs : Math.min(timeoutUs, leftUs);
-        if (backend == null || e.answered || waitUs <= 0 || attempt.number >= maxAttempts) {
+        if (backend == null || e.answered || e.stream != null || waitUs <= 0
+                || attempt.number >= maxAttempts) {
             loop.execute(() -> attemptEnded(e, attempt, Result.without(Outcome.NOT_SENT)));
             return;
         }
         long untilUs = now + waitUs;
         // Guards against a connection that comes up late: one to a backend that was told to drain, or that
         // has gone or was taken out, in the meantime is sent nothing.
-        attempt.handle = sendTo(backend, new Outgoing(() -> message(e.request, untilUs),
-                () -> !e.answered && mayGet(backend), figures::dispatched, waitUs, Outcome.TIMEOUT),
-                result -> attemptEnded(e, attempt, result));
+        attempt.handle = sendTo(backend, new Outgoing(() -> message(e.request, untilUs), e.request.body(),
+                () -> !e.answered && e.stream == null && mayGet(backend) && e.request.body().canBeSent(),
+                figures::dispatched, e.arriving ? BackendPool.NO_TIMEOUT : waitUs, Outcome.TIMEOUT),
+                new BackendPool.Listener() {
+                    @Override
+                    public AnswerSink streams(long length, Runnable readOn) {
+                        return stream(e, attempt, length, readOn);
+                    }
+
+                    @Override
+                    public void done(Result result) {
+                        attemptEnded(e, attempt, result);
+                    }
+                });
     }
 
     private boolean mayGet(Backend backend) {
         return backend.up && !balancer.isOut(backend.target.id());
     }
 
-    private FullHttpRequest message(ProxyRequest request, long untilUs) {
-        FullHttpRequest message = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, request.method(),
-                request.uri(), Unpooled.wrappedBuffer(request.body()));
+    /** The whole message, or the head of one whose body follows as it comes. */
+    private HttpRequest message(ProxyRequest request, long untilUs) {
+        RequestBody body = request.body();
+        boolean held = body.isWhole() && !body.isLong();
+        HttpRequest message = held
+                ? new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, request.method(), request.uri(),
+                        Unpooled.wrappedBuffer(body.bytes()))
+                : new DefaultHttpRequest(HttpVersion.HTTP_1_1, request.method(), request.uri());
         message.headers().set(HttpHeaderNames.HOST, "backend").set("X-Request-Id", request.id())
                 .set("X-Deadline", Math.max(1, untilUs - clock.nowUs()) + "u");
         if (request.idempotencyKey() != null) {
             message.headers().set("Idempotency-Key", request.idempotencyKey());
         }
-        if (!request.method().equals(HttpMethod.GET) || request.body().length > 0) {
-            message.headers().set(HttpHeaderNames.CONTENT_LENGTH, request.body().length);
+        long length = held ? body.size() : body.length();
+        if (length < 0) {
+            message.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+        } else if (!request.method().equals(HttpMethod.GET) || length > 0) {
+            message.headers().set(HttpHeaderNames.CONTENT_LENGTH, length);
         }
         return message;
     }
@@ -371,7 +488,7 @@
 
     private void finish(String id, Answer answer) {
         Exchange e = exchanges.get(id);
-        if (e != null && !e.answered) {
+        if (e != null && !e.answered && e.stream == null) {
             answer(e, answer);
             forget(e);
         }
@@ -446,7 +563,10 @@
 
     private void end(Exchange e) {
         e.answered = true;
-        e.backstop.cancel(false);
+        if (e.backstop != null) {
+            e.backstop.cancel(false);
+        }
+        arrived(e);
         unanswered--;
         if (unanswered == 0) {
             loop.execute(() -> {
@@ -468,10 +588,16 @@
     private static final class Exchange {
         final ProxyRequest request;
         final Responder responder;
-        final long deadlineUs;
         final List<Attempt> attempts = new ArrayList<>(2);
+        long deadlineUs;
+        /** Not all of it is in. */
+        boolean arriving;
         Future<?> backstop;
         boolean answered;
+        /** The attempt whose long answer is the client's; null where there is none. */
+        Attempt stream;
+        long streamedAtUs;
+        AnswerSink sink;
 
         Exchange(ProxyRequest request, Responder responder, long deadlineUs) {
             this.request = request;
@@ -488,7 +614,8 @@
     private static final class Attempt {
         final int number;
         final String server;
-        final long sentAtUs;
+        /** When it was sent, or when the last byte of the request came in after that. */
+        long sentAtUs;
         Handle handle;
         Outcome outcome;
 
--- a/src/main/java/passhatch/proxy/ProxyServer.java
+++ b/src/main/java/passhatch/proxy/ProxyServer.java
@@ -117,7 +117,8 @@
         ProxyServer server = new ProxyServer(config, log);
         server.loop.submit(() -> server.build(config, module)).sync();
         if (config.console() == null || !server.loop.submit(server.handover::hasPeer).get()) {
-            ChannelFuture listening = server.clients.listen(config.listen(), config.console() != null).await();
+            ChannelFuture listening = server.clients.listen(config.listen(), config.console() != null)
+                    .await();
             if (!listening.isSuccess()) {
                 server.end();
                 throw new ProxyConfig.BadConfig("PROXY_LISTEN: " + listening.cause().getMessage());
@@ -169,7 +170,8 @@
                 new BodyBudget((int) Math.min(1L << 30, Runtime.getRuntime().maxMemory() / BODY_PART)),
                 drain);
         if (config.console() != null) {
-            handover = new Handover(loop, log, config.folder(), config.name(), new SetByHand(config.sockets()));
+            handover = new Handover(loop, log, config.folder(), config.name(),
+                    new SetByHand(config.sockets()));
         }
     }
 
@@ -198,7 +200,8 @@
         public void set(SharedState state) {
             SharedState before = now;
             now = state;
-            state.out().stream().filter(id -> !before.out().contains(id)).forEach(id -> proxy.setOut(id, true));
+            state.out().stream().filter(id -> !before.out().contains(id))
+                    .forEach(id -> proxy.setOut(id, true));
             before.out().stream().filter(id -> !state.out().contains(id))
                     .forEach(id -> proxy.setOut(id, false));
             if (state.outOfService() != before.outOfService()) {
--- a/src/main/java/passhatch/proxy/Rehearsal.java
+++ b/src/main/java/passhatch/proxy/Rehearsal.java
@@ -13,6 +13,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.ExecutionException;
 import passhatch.Logic;
@@ -27,13 +28,17 @@
     private static final int TIMEOUT_MS = 10_000;
     /** Requests passed on: enough to use a kept connection too. */
     private static final int REQUESTS = 3;
+    /** A body, and an answer, of a size that is passed on as it comes. */
+    private static final int LARGE = 200_000;
     private static final List<String> CONSOLE_CALLS = List.of("POST /control/backends/s/offline",
             "POST /control/backends/s/online", "POST /control/out-of-service", "POST /control/in-service",
             "GET /control/counters");
 
     private static final String SETTINGS = """
             {"categories":[{"name":"c","effect":"pure","group":"all","goalTimeUs":9000000,
-             "deadlineUs":9000000,"worth":1}],"tenants":[{"name":"t","quotaPerS":0,"share":1}],
+             "deadlineUs":9000000,"worth":1},{"name":"u","effect":"side_effect","group":"all",
+             "goalTimeUs":9000000,"deadlineUs":9000000,"worth":1}],
+             "tenants":[{"name":"t","quotaPerS":0,"share":1}],
              "dcs":["z"],"machineTypes":["m"],"balancers":1,"discovery":"on_request",
              "limits":{"maxAttempts":3,"cancel":true,"maxStreams":1,"keepaliveUs":9000000,
              "connectTimeoutUs":9000000},"rules":{"drainGraceUs":2000000,"coldFrom":0.5,
@@ -59,13 +64,15 @@
                 stub.setDaemon(true);
                 stub.start();
                 ProxyServer proxy = ProxyServer.start(ProxyConfig.read(Map.of("PROXY_NAME", "n",
-                        "PROXY_LISTEN", "127.0.0.1:0", "PROXY_CONSOLE", "127.0.0.1:0", "PROXY_DISCOVERY", here,
-                        "PROXY_CONFIG", config.toString(), "TMPDIR", folder.toString())),
+                        "PROXY_LISTEN", "127.0.0.1:0", "PROXY_CONSOLE", "127.0.0.1:0", "PROXY_DISCOVERY",
+                        here, "PROXY_CONFIG", config.toString(), "TMPDIR", folder.toString())),
                         new EventLog(err), Logic::new);
                 for (int i = 0; i < REQUESTS; i++) {
                     call(proxy.address(), "GET /c/x HTTP/1.1\r\nHost: p\r\nX-Request-Id: r" + i
                             + "\r\nX-Tenant: t\r\nX-Deadline: 9000m\r\nX-Cost-Hint: 9\r\n\r\n");
                 }
+                call(proxy.address(), "POST /u/x HTTP/1.1\r\nHost: p\r\nX-Request-Id: large\r\n"
+                        + "Content-Length: " + LARGE + "\r\n\r\n" + "x".repeat(LARGE));
                 for (String path : CONSOLE_CALLS) {
                     call(proxy.consoleAddress(), path + " HTTP/1.1\r\nHost: c\r\n\r\n");
                 }
@@ -115,10 +122,18 @@
         try (peer; BufferedReader in = new BufferedReader(new InputStreamReader(peer.getInputStream(),
                 StandardCharsets.US_ASCII))) {
             for (String start = in.readLine(); start != null; start = in.readLine()) {
+                long length = 0;
                 for (String header = in.readLine(); header != null && !header.isEmpty();) {
+                    if (header.toLowerCase(Locale.ROOT).startsWith("content-length:")) {
+                        length = Long.parseLong(header.substring(header.indexOf(':') + 1).strip());
+                    }
                     header = in.readLine();
                 }
-                String body = start.contains("/v1/endpoints") ? list : "ok";
+                while (length > 0) {
+                    length -= in.skip(length);
+                }
+                String body = start.contains("/v1/endpoints") ? list
+                        : start.startsWith("POST") ? "x".repeat(LARGE) : "ok";
                 String answer = start.contains("watch=1")
                         ? "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
                             + Integer.toHexString(body.length()) + "\r\n" + body + "\r\n"
--- a/src/main/java/passhatch/proxy/RequestParser.java
+++ b/src/main/java/passhatch/proxy/RequestParser.java
@@ -46,8 +46,8 @@
     }
 
     /** Reads a request that has stood unread for some time already. */
-    ProxyRequest parse(RequestReader.Whole whole, long unreadUs) throws BadRequest {
-        HttpRequest http = whole.head();
+    ProxyRequest parse(RequestReader.Incoming incoming, long unreadUs) throws BadRequest {
+        HttpRequest http = incoming.head();
         int kind = requestClass(http);
         HttpHeaders headers = http.headers();
         String id = headers.get("X-Request-Id", "");
@@ -63,7 +63,7 @@
         long budgetUs = Math.min(mostUs, deadlineUs(headers.get("X-Deadline"), mostUs));
         return new ProxyRequest(id, kind, tenant(headers.get("X-Tenant")), budgetUs - unreadUs,
                 hintUs(headers.get("X-Cost-Hint"), mostUs), "1".equals(headers.get("X-Retry")), http.method(),
-                http.uri(), key, whole.body());
+                http.uri(), key, incoming.body());
     }
 
     /** The first part of the path; its effect must be the one that the method promises the caller. */
--- a/src/main/java/passhatch/proxy/RequestReader.java
+++ b/src/main/java/passhatch/proxy/RequestReader.java
@@ -8,8 +8,6 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
-import java.io.ByteArrayOutputStream;
-import java.io.IOException;
 import java.util.List;
 
 /**
@@ -18,19 +16,19 @@
  */
 final class RequestReader {
 
-    private static final int MOST_BODY = 1 << 16;
+    /** Larger bodies are turned down. */
+    static final long MOST_BODY = 32L << 20;
 
     private final BodyBudget budget;
-    private HttpRequest head;
-    private ByteArrayOutputStream body;
-    private int reserved;
+    private Incoming current;
+    private long received;
 
     RequestReader(BodyBudget budget) {
         this.budget = budget;
     }
 
-    /** A whole request; the bytes that it holds of the budget are the receiver's to give back. */
-    record Whole(HttpRequest head, byte[] body, int reserved) { }
+    /** A request of which the head is in. */
+    record Incoming(HttpRequest head, RequestBody body) { }
 
     /** A request that cannot be taken, and the status that says so. */
     static final class Unreadable extends Exception {
@@ -47,58 +45,53 @@
         }
     }
 
-    /** Takes the next part; gives the request once it is whole, until then null. */
-    Whole read(HttpObject part) throws Unreadable, IOException {
+    /** Takes the next part and gives the request that it belongs to. */
+    Incoming read(HttpObject part) throws Unreadable {
         if (part.decoderResult().isFailure()) {
             throw new Unreadable(HttpResponseStatus.BAD_REQUEST, "the request is not HTTP");
         }
         if (part instanceof HttpRequest request) {
             check(request);
-            head = request;
-            body = new ByteArrayOutputStream(0);
-            reserve((int) HttpUtil.getContentLength(request, 0L));
+            current = new Incoming(request, new RequestBody(budget, HttpUtil.getContentLength(request, -1L)));
+            received = 0;
         }
+        Incoming to = current;
         if (part instanceof HttpContent content) {
-            int more = content.content().readableBytes();
-            if (body.size() + more > reserved) {
-                if (body.size() + more > MOST_BODY) {
-                    throw tooLarge();
-                }
-                reserve(body.size() + more - reserved);
+            received += content.content().readableBytes();
+            if (received > MOST_BODY) {
+                throw tooLarge();
+            }
+            if (!to.body().add(content.content())) {
+                throw new Unreadable(HttpResponseStatus.SERVICE_UNAVAILABLE, "too many bytes are held");
             }
-            content.content().readBytes(body, more);
         }
-        if (!(part instanceof LastHttpContent)) {
-            return null;
+        if (part instanceof LastHttpContent) {
+            current = null;
+            to.body().end();
         }
-        Whole whole = new Whole(head, body.toByteArray(), reserved);
-        head = null;
-        body = null;
-        reserved = 0;
-        return whole;
+        return to;
     }
 
     /** The head of a request has come whose body waits for leave to be sent. */
     boolean isWaitedFor(HttpObject part) {
-        return part == head && HttpUtil.is100ContinueExpected(head);
+        return current != null && part == current.head() && HttpUtil.is100ContinueExpected(current.head());
     }
 
     /** Whether part of a request is in. */
     boolean holdsPart() {
-        return head != null;
+        return current != null;
     }
 
-    /** Gives back what an unfinished request holds. */
-    void drop() {
-        budget.release(reserved);
-        reserved = 0;
+    /** Whether what is in must go on before more may be read. */
+    boolean isFull() {
+        return current != null && current.body().isFull();
     }
 
-    private void reserve(int bytes) throws Unreadable {
-        if (!budget.reserve(bytes)) {
-            throw new Unreadable(HttpResponseStatus.SERVICE_UNAVAILABLE, "too many bytes are held");
+    /** Gives back what an unfinished request holds. */
+    void drop() {
+        if (current != null) {
+            current.body().drop();
         }
-        reserved += bytes;
     }
 
     /**
--- a/src/test/java/passhatch/LogicTest.java
+++ b/src/test/java/passhatch/LogicTest.java
@@ -1517,4 +1517,76 @@
             assertFalse(p.logic.knows("s0"));
         }
     }
+
+    /** Requests too long to be held, and answers that are passed on as they come. */
+    @Nested
+    class Streams {
+
+        private String arriving(Proxy p, int kind) {
+            String id = "long" + p.done.size();
+            p.logic.request(p.now, new Request(id, kind, 0, 1_000 * MS, 0, false, true));
+            return id;
+        }
+
+        /** However long it comes in, no attempt at it is overdue before its last byte. */
+        @Test
+        void timeRunsFromTheLastByte() {
+            Proxy p = new Proxy(setup()).with("a", "b", "c");
+            for (int i = 0; i < 10; i++) {
+                p.serve();
+            }
+            String call = arriving(p, Proxy.SAFE);
+            p.pass(900);
+            assertEquals(1, p.attempts.get(call), "no second copy while it comes in");
+            p.logic.requestWhole(p.now, call, 1_000 * MS);
+            p.pass(900);
+            assertEquals(2, p.attempts.get(call), "overdue, as others are");
+            assertFalse(p.did("fail " + call) || p.did("refuse " + call));
+        }
+
+        @Test
+        void aBodyThatIsHeldIsRepeatedAndOneThatIsSpentIsNot() {
+            Proxy p = new Proxy(setup()).with("a", "b", "c");
+            String held = arriving(p, Proxy.UNSAFE);
+            p.end(held, Outcome.CONNECT_FAILED);
+            assertEquals(2, p.attempts.get(held));
+            String spent = arriving(p, Proxy.UNSAFE);
+            p.logic.bodySpent(p.now, spent);
+            p.end(spent, Outcome.CONNECT_FAILED);
+            assertEquals(1, p.attempts.get(spent));
+            assertTrue(p.did("refuse " + spent), "it cannot have run, so its client may come again");
+        }
+
+        @Test
+        void aSpentBodyIsNotHedged() {
+            Proxy p = new Proxy(setup()).with("a", "b", "c");
+            for (int i = 0; i < 10; i++) {
+                p.serve();
+            }
+            String call = arriving(p, Proxy.SAFE);
+            p.logic.bodySpent(p.now, call);
+            p.logic.requestWhole(p.now, call, 1_000 * MS);
+            p.pass(900);
+            assertEquals(1, p.attempts.get(call));
+        }
+
+        @Test
+        void anAnswerThatHasBegunIsItsClientsAndAllElseIsCalledOff() {
+            Proxy p = new Proxy(setup()).with("a", "b", "c");
+            for (int i = 0; i < 10; i++) {
+                p.serve();
+            }
+            String call = p.request(Proxy.SAFE);
+            p.pass(500);
+            assertEquals(2, p.attempts.get(call));
+            p.logic.streamStarted(p.now, call, 0, p.sentTo.get(call).get(0), 500 * MS);
+            assertFalse(p.did("cancel " + call + " 0"));
+            assertTrue(p.did("cancel " + call + " 1"));
+            p.logic.outcome(p.now, call, 1, p.sentTo.get(call).get(1), Outcome.CANCELLED, 1, true, null);
+            p.pass(5_000);
+            p.logic.outcome(p.now, call, 0, p.sentTo.get(call).get(0), Outcome.RESET, 500 * MS, true, null);
+            assertEquals(2, p.attempts.get(call));
+            assertEquals(0, p.count("fail") + p.count("refuse") + p.count("cancel " + call + " 0"));
+        }
+    }
 }
--- /dev/null
+++ b/src/test/java/passhatch/proxy/LargeBodiesTest.java
@@ -0,0 +1,523 @@
+package passhatch.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.EOFException;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.Locale;
+import java.util.Random;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import passhatch.proxy.Http.Message;
+
+/** Bodies and answers that are too long to be held, over loopback sockets. */
+@Timeout(90)
+final class LargeBodiesTest {
+
+    private static final int LARGE = 5_000_000;
+
+    @TempDir
+    Path folder;
+    private final byte[] bytes = new byte[LARGE];
+    private final BlockingQueue<byte[]> bodies = new LinkedBlockingQueue<>();
+    private Rig rig;
+
+    @BeforeEach
+    void setUp() throws IOException {
+        rig = new Rig(folder);
+        new Random(3).nextBytes(bytes);
+    }
+
+    @AfterEach
+    void tearDown() throws IOException {
+        rig.close();
+    }
+
+    /** The rest of a request whose first line has been read. */
+    private static byte[] readBody(Http from) throws IOException {
+        return readBody(from, false);
+    }
+
+    private static byte[] readAnswer(Http from) throws IOException {
+        return readBody(from, true);
+    }
+
+    /** Reads headers and then the body as they say; only an answer may end with its connection. */
+    private static byte[] readBody(Http from, boolean answer) throws IOException {
+        long length = -1;
+        boolean chunked = false;
+        for (String line = from.line(); line != null && !line.isEmpty(); line = from.line()) {
+            String lower = line.toLowerCase(Locale.ROOT);
+            if (lower.startsWith("content-length:")) {
+                length = Long.parseLong(line.substring("content-length:".length()).strip());
+            }
+            chunked |= lower.equals("transfer-encoding: chunked");
+        }
+        if (!chunked && length < 0) {
+            return answer ? from.in().readAllBytes() : new byte[0];
+        }
+        ByteArrayOutputStream body = new ByteArrayOutputStream();
+        if (!chunked) {
+            body.write(exactly(from, (int) length));
+            return body.toByteArray();
+        }
+        while (true) {
+            String line = from.line();
+            if (line == null) {
+                throw new EOFException("no last chunk");
+            }
+            int size = Integer.parseInt(line.split(";")[0].strip(), 16);
+            body.write(exactly(from, size));
+            if (size == 0) {
+                for (String trailer = from.line(); trailer != null && !trailer.isEmpty();) {
+                    trailer = from.line();
+                }
+                return body.toByteArray();
+            }
+            from.line();
+        }
+    }
+
+    private static byte[] exactly(Http from, int size) throws IOException {
+        byte[] got = from.in().readNBytes(size);
+        if (got.length < size) {
+            throw new EOFException("cut off after " + got.length);
+        }
+        return got;
+    }
+
+    /** Does something with a connection whose request's first line has been read. */
+    private interface Behaviour {
+        void act(Http connection, String start) throws IOException, InterruptedException;
+    }
+
+    /** A backend that sees to its bodies itself. */
+    private ServerSocket backend(Behaviour behaviour) throws IOException {
+        ServerSocket listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        ScriptedServer.daemon(() -> {
+            try {
+                while (true) {
+                    Http connection = new Http(listener.accept());
+                    ScriptedServer.daemon(() -> {
+                        try {
+                            for (String start = connection.line(); start != null; start = connection.line()) {
+                                behaviour.act(connection, start);
+                            }
+                        } catch (IOException | InterruptedException ended) {
+                            // Tests look at what came.
+                        }
+                    });
+                }
+            } catch (IOException closed) {
+                // The test is over.
+            }
+        });
+        return listener;
+    }
+
+    private static String up(String name, ServerSocket backend) {
+        return Rig.entry(name, (InetSocketAddress) backend.getLocalSocketAddress(), "SERVING");
+    }
+
+    private ServerSocket taking() throws IOException {
+        return backend((connection, start) -> {
+            bodies.add(readBody(connection));
+            connection.answer("200 OK", "taken");
+        });
+    }
+
+    private void start(Behaviour behaviour) throws Exception {
+        rig.start(up("s", backend(behaviour)));
+    }
+
+    private Http post(String path, String headers) throws IOException {
+        Http client = rig.client();
+        client.write("POST " + path + " HTTP/1.1\r\nHost: p\r\nX-Request-Id: r1\r\n" + headers + "\r\n");
+        return client;
+    }
+
+    private static void chunk(Http to, byte[] from, int at, int size, String extension) throws IOException {
+        to.write(Integer.toHexString(size) + extension + "\r\n");
+        to.write(Arrays.copyOfRange(from, at, at + size));
+        to.write("\r\n");
+    }
+
+    private byte[] nextBody() throws InterruptedException {
+        return bodies.poll(Http.PATIENCE_MS, TimeUnit.MILLISECONDS);
+    }
+
+    @Test
+    void aLongBodyArrivesUnchanged() throws Exception {
+        rig.start(up("s", taking()));
+        Http client = post("/move", "Content-Length: " + LARGE + "\r\n");
+        client.write(bytes);
+        assertEquals("taken", client.read().text());
+        assertArrayEquals(bytes, nextBody());
+        client.write(Rig.get("r2", ""));
+        assertEquals("taken", client.read().text(), "the connection is used on");
+    }
+
+    /** Of no length that its head tells; with what chunks may carry. */
+    @Test
+    void aLongBodyInChunksArrivesUnchanged() throws Exception {
+        rig.start(up("s", taking()));
+        Http client = post("/move", "Transfer-Encoding: chunked\r\nExpect: 100-continue\r\n");
+        assertEquals(100, client.read().status());
+        for (int at = 0; at < LARGE; at += 250_000) {
+            chunk(client, bytes, at, 250_000, ";name=value");
+        }
+        client.write("0\r\nX-Trailer: t\r\n\r\n");
+        assertEquals("taken", client.read().text());
+        assertArrayEquals(bytes, nextBody());
+    }
+
+    /** The backend hears of a long body before it is whole, or it would have to be held. */
+    @Test
+    void aLongBodyPassesThroughAsItComes() throws Exception {
+        CountDownLatch heard = new CountDownLatch(1);
+        start((connection, start) -> {
+            heard.countDown();
+            bodies.add(readBody(connection));
+            connection.answer("200 OK", "taken");
+        });
+        Http client = post("/move", "Content-Length: " + LARGE + "\r\n");
+        client.write(Arrays.copyOf(bytes, LARGE - 1));
+        assertTrue(heard.await(Http.PATIENCE_MS, TimeUnit.MILLISECONDS));
+        assertTrue(bodies.isEmpty());
+        client.write(new byte[] {bytes[LARGE - 1]});
+        assertEquals("taken", client.read().text());
+        assertArrayEquals(bytes, nextBody());
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"length", "chunks", "end"})
+    void aLongAnswerArrivesUnchanged(String framing) throws Exception {
+        start((connection, start) -> {
+            readBody(connection);
+            switch (framing) {
+                case "length" -> {
+                    connection.write("HTTP/1.1 103 Early Hints\r\n\r\n");
+                    connection.write("HTTP/1.1 200 OK\r\nContent-Length: " + LARGE + "\r\n\r\n");
+                    connection.write(bytes);
+                }
+                case "chunks" -> {
+                    connection.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+                    for (int at = 0; at < LARGE; at += 100_000) {
+                        chunk(connection, bytes, at, 100_000, "; e");
+                    }
+                    connection.write("0\r\nX-Trailer: t\r\n\r\n");
+                }
+                default -> {
+                    connection.write("HTTP/1.1 200 OK\r\n\r\n");
+                    connection.write(bytes);
+                    connection.close();
+                }
+            }
+        });
+        Http client = rig.client();
+        for (int i = 0; i < 2; i++) {
+            client.write(Rig.get("r" + i, ""));
+            assertEquals("HTTP/1.1 200 OK", client.line());
+            assertArrayEquals(bytes, readAnswer(client));
+        }
+    }
+
+    /** A client of HTTP/1.0 knows no chunks: its answer ends with the connection. */
+    @Test
+    void anOldClientGetsAnAnswerThatEndsWithItsConnection() throws Exception {
+        start((connection, start) -> {
+            readBody(connection);
+            connection.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+            chunk(connection, bytes, 0, LARGE, "");
+            connection.write("0\r\n\r\n");
+        });
+        Http client = rig.client();
+        client.write(Rig.get("r1", "").replace("HTTP/1.1", "HTTP/1.0"));
+        client.line();
+        assertArrayEquals(bytes, readAnswer(client));
+    }
+
+    /** Its first bytes are passed on while the rest has yet to come. */
+    @ParameterizedTest
+    @ValueSource(strings = {"Content-Length: 100000", "Transfer-Encoding: chunked"})
+    void theFirstBytesOfALongAnswerDoNotWaitForTheLast(String framing) throws Exception {
+        CountDownLatch seen = new CountDownLatch(1);
+        boolean chunked = framing.startsWith("T");
+        start((connection, start) -> {
+            readBody(connection);
+            connection.write("HTTP/1.1 200 OK\r\n" + framing + "\r\n\r\n" + (chunked ? "1\r\na\r\n" : "a"));
+            seen.await();
+            connection.write(chunked ? "1\r\nb\r\n0\r\n\r\n" : "b".repeat(99_999));
+        });
+        Http client = rig.client();
+        client.write(Rig.get("r1", ""));
+        String line = client.line();
+        assertEquals("HTTP/1.1 200 OK", line);
+        while (!line.isEmpty()) {
+            line = client.line();
+        }
+        if (chunked) {
+            assertEquals("1", client.line());
+        }
+        assertEquals('a', client.in().read());
+        seen.countDown();
+        assertEquals('b', client.in().readNBytes(chunked ? 6 : 1)[chunked ? 5 : 0]);
+    }
+
+    /** Where a client reads nothing, its backend is not read either: memory does not grow with the answer. */
+    @Test
+    void aClientThatDoesNotReadHoldsItsBackendBack() throws Exception {
+        AtomicLong written = new AtomicLong();
+        int much = 32 << 20;
+        byte[] part = new byte[1 << 16];
+        start((connection, start) -> {
+            readBody(connection);
+            connection.write("HTTP/1.1 200 OK\r\nContent-Length: " + much + "\r\n\r\n");
+            for (int i = 0; i < much / part.length; i++) {
+                connection.write(part);
+                written.addAndGet(part.length);
+            }
+        });
+        Http client = new Http(unreadySocket());
+        client.write(Rig.get("r1", ""));
+        long before = -1;
+        while (written.get() != before || before <= 0) {
+            before = written.get();
+            Thread.sleep(300);
+        }
+        assertTrue(before < much, "all of it was taken though nobody reads");
+        client.line();
+        assertEquals(much, readAnswer(client).length);
+        client.close();
+    }
+
+    /** A connection with little room of its own, to the proxy. */
+    private Socket unreadySocket() throws IOException {
+        Socket socket = new Socket();
+        socket.setReceiveBufferSize(1 << 14);
+        socket.connect(rig.proxy().address());
+        return socket;
+    }
+
+    @Test
+    void aClientThatLeavesInTheMiddleFreesItsBackend() throws Exception {
+        CountDownLatch broken = new CountDownLatch(1);
+        start((connection, start) -> {
+            readBody(connection);
+            connection.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+            try {
+                while (true) {
+                    chunk(connection, bytes, 0, 100_000, "");
+                }
+            } catch (IOException closed) {
+                broken.countDown();
+            }
+        });
+        Http client = rig.client();
+        client.write(Rig.get("r1", ""));
+        client.line();
+        client.reset();
+        assertTrue(broken.await(Http.PATIENCE_MS, TimeUnit.MILLISECONDS));
+    }
+
+    /** The client can tell that it is not whole, however it was framed. */
+    @ParameterizedTest
+    @ValueSource(strings = {"Content-Length: 5000000", "Transfer-Encoding: chunked", "X-None: 1"})
+    void anAnswerThatBreaksOffIsSeenAsSuch(String framing) throws Exception {
+        Behaviour breaking = (connection, start) -> {
+            bodies.add(bytes);
+            readBody(connection);
+            connection.write("HTTP/1.1 200 OK\r\n" + framing + "\r\n\r\n");
+            if (framing.startsWith("T")) {
+                chunk(connection, bytes, 0, 100_000, "");
+            } else {
+                connection.write(Arrays.copyOf(bytes, 100_000));
+            }
+            if (framing.startsWith("X")) {
+                // What has not been read yet may be lost with a reset.
+                Thread.sleep(400);
+            }
+            connection.reset();
+        };
+        rig.start(up("s", backend(breaking)), up("t", backend(breaking)));
+        Http client = rig.client();
+        client.write(Rig.get("r1", ""));
+        client.line();
+        assertThrows(IOException.class, () -> readAnswer(client));
+        assertEquals(1, bodies.size(), "once bytes went out nothing is repeated");
+    }
+
+    /** While what went out is held, a failed attempt says nothing against another. */
+    @Test
+    void aLongBodyGoesToAnotherBackendWhereTheFirstCannotBeReached() throws Exception {
+        ServerSocket down = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+        down.close();
+        ServerSocket good = taking();
+        rig.start(up("a", good), Rig.entry("b", new InetSocketAddress(InetAddress.getLoopbackAddress(),
+                down.getLocalPort()), "SERVING"));
+        for (int i = 0; i < 4; i++) {
+            Http client = rig.client();
+            client.write("POST /move HTTP/1.1\r\nHost: p\r\nX-Request-Id: r" + i + "\r\nContent-Length: "
+                    + LARGE + "\r\n\r\n");
+            client.write(bytes);
+            assertEquals("taken", client.read().text());
+            assertArrayEquals(bytes, nextBody());
+        }
+    }
+
+    /** The rest of the body is gone by then: another backend could only get a part of it. */
+    @Test
+    void aLongBodyThatIsNotHeldAnyMoreIsNotRepeated() throws Exception {
+        Behaviour breaking = (connection, start) -> {
+            exactly(connection, 300_000);
+            bodies.add(bytes);
+            connection.reset();
+        };
+        rig.start(up("a", backend(breaking)), up("b", backend(breaking)));
+        Http client = post("/buy", "Idempotency-Key: k\r\nContent-Length: " + LARGE + "\r\n");
+        ScriptedServer.daemon(() -> {
+            try {
+                client.write(bytes);
+            } catch (IOException closed) {
+                // It need not take the rest.
+            }
+        });
+        Message answer = client.read();
+        assertTrue(answer.status() >= 500, answer.start());
+        assertEquals("close", answer.header("Connection"), "the rest of the request is not wanted");
+        assertEquals(1, bodies.size());
+    }
+
+    /** A backend may answer before it has all: that is its answer, and nothing waits for the rest. */
+    @Test
+    void anAnswerThatComesBeforeTheBodyIsWholeIsPassedOn() throws Exception {
+        start((connection, start) -> connection.write("HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\n"
+                + "Content-Length: 0\r\n\r\n"));
+        Http client = post("/move", "Content-Length: " + LARGE + "\r\n");
+        client.write(Arrays.copyOf(bytes, 200_000));
+        assertEquals(503, client.read().status());
+    }
+
+    @Test
+    void malformedChunksInALongBodyEndItEverywhere() throws Exception {
+        CountDownLatch cut = new CountDownLatch(1);
+        start((connection, start) -> {
+            try {
+                readBody(connection);
+                bodies.add(bytes);
+            } catch (EOFException notWhole) {
+                cut.countDown();
+            }
+        });
+        Http client = post("/move", "Transfer-Encoding: chunked\r\n");
+        chunk(client, bytes, 0, 200_000, "");
+        client.write("zz\r\nGET /board/hidden HTTP/1.1\r\n\r\n");
+        assertEquals(400, client.read().status());
+        assertNull(client.read());
+        assertTrue(cut.await(Http.PATIENCE_MS, TimeUnit.MILLISECONDS));
+        assertTrue(bodies.isEmpty());
+    }
+
+    /** Chunks tell no length beforehand. */
+    @Test
+    void aBodyThatGrowsTooLargeNeverArrivesWhole() throws Exception {
+        CountDownLatch cut = new CountDownLatch(1);
+        start((connection, start) -> {
+            try {
+                readBody(connection);
+                bodies.add(bytes);
+            } catch (IOException notWhole) {
+                cut.countDown();
+            }
+        });
+        Http client = post("/move", "Transfer-Encoding: chunked\r\n");
+        try {
+            for (int i = 0; i < 8; i++) {
+                chunk(client, bytes, 0, LARGE, "");
+            }
+            assertEquals(413, client.read().status());
+        } catch (IOException closed) {
+            // It may be closed while there is more to send.
+        }
+        assertTrue(cut.await(Http.PATIENCE_MS, TimeUnit.MILLISECONDS));
+        assertTrue(bodies.isEmpty());
+        try (Http next = Http.to(rig.proxy().address())) {
+            next.write("GET /ready HTTP/1.1\r\nHost: p\r\n\r\n");
+            assertEquals(200, next.read().status());
+        }
+    }
+
+    /** The second answer stands behind the first, however long that is. */
+    @Test
+    void longAnswersToPipelinedRequestsKeepTheirOrder() throws Exception {
+        CountDownLatch second = new CountDownLatch(1);
+        start((connection, start) -> {
+            readBody(connection);
+            boolean first = start.contains("/first");
+            if (first) {
+                second.await();
+            }
+            connection.write("HTTP/1.1 200 OK\r\nContent-Length: " + LARGE + "\r\n\r\n");
+            byte[] answer = bytes.clone();
+            answer[0] = (byte) (first ? 1 : 2);
+            connection.write(Arrays.copyOf(answer, 100_000));
+            second.countDown();
+            connection.write(Arrays.copyOfRange(answer, 100_000, LARGE));
+        });
+        Http client = rig.client();
+        client.write(Rig.get("r1", "").replace("/board/7", "/board/first")
+                + Rig.get("r2", "").replace("/board/7", "/board/second"));
+        for (int i = 1; i <= 2; i++) {
+            client.line();
+            byte[] answer = readAnswer(client);
+            assertEquals(i, answer[0]);
+            assertEquals(LARGE, answer.length);
+        }
+    }
+
+    @Test
+    void aBodyOfTheMostSizeIsTakenInSmallMemory() throws Exception {
+        AtomicLong got = new AtomicLong();
+        start((connection, start) -> {
+            String line = start;
+            while (!line.isEmpty()) {
+                line = connection.line();
+            }
+            byte[] part = new byte[1 << 16];
+            while (got.get() < RequestReader.MOST_BODY) {
+                got.addAndGet(connection.in().readNBytes(part, 0, part.length));
+            }
+            connection.answer("200 OK", "taken");
+        });
+        Http client = post("/move", "Content-Length: " + RequestReader.MOST_BODY + "\r\n");
+        byte[] part = new byte[1 << 20];
+        for (int i = 0; i < RequestReader.MOST_BODY / part.length; i++) {
+            client.write(part);
+        }
+        assertEquals("taken", client.read().text());
+        assertEquals(RequestReader.MOST_BODY, got.get());
+        assertTrue(rig.log.toString(StandardCharsets.UTF_8).isEmpty(), rig.log.toString());
+    }
+}
