Keep no connection after its answer once most places are taken

Ruled out: the loop (figures answered in time, 51 of 51), backends (65 connections at once), descriptors (227 of 384). Cause: 3,784 connections asked once and stayed; kept 2 s each they held all 175 places, and what waited in the accept queue was older than its client's patience when it was taken: the queue never cleared again. At fault: ClientServer.answersEndConnections went by drains alone.

--- a/src/main/java/passhatch/proxy/ClientServer.java
+++ b/src/main/java/passhatch/proxy/ClientServer.java
@@ -26,6 +26,8 @@
     private static final long MOST_STALL_US = 2_600_000;
     /** A connection that is kept but not used is closed after this long. */
     private static final long MOST_IDLE_US = 15_000_000;
+    /** Part of the connections that may be open from which on no more of them are kept after an answer. */
+    private static final double CROWDED = 0.6;
     /** While this proxy is drained, a new connection is closed that asks nothing for this long. */
     private static final long DRAINED_UNASKED_US = 500_000;
     /** And sooner where others need its place, but not before this. */
@@ -237,9 +239,13 @@
         return proxy.ready() && drain.takesClients();
     }
 
-    /** Whether the last answer that a connection owes ends it. */
+    /**
+     * Whether the last answer that a connection owes ends it. Guards against a crowd that asks and stays: kept
+     * connections would use up the places, and while none is free, those that wait to be accepted grow so old
+     * that their clients have left by the time they are served.
+     */
     boolean answersEndConnections() {
-        return drain.answersEndConnections();
+        return drain.answersEndConnections() || connections.size() > mostOpen * CROWDED;
     }
 
     long nowUs() {
--- a/src/test/java/passhatch/proxy/BadClientsTest.java
+++ b/src/test/java/passhatch/proxy/BadClientsTest.java
@@ -184,6 +184,24 @@
         assertEquals("held", held.read().text());
     }
 
+    /** Kept, those connections would use up the places that the next clients need. */
+    @Test
+    void aCrowdThatAsksAndStaysIsLetGoWithItsAnswers() throws Exception {
+        rig.sockets(80);
+        start();
+        int ended = 0;
+        for (int i = 0; i < 60; i++) {
+            Http client = rig.client();
+            client.write(Rig.get("r" + i, ""));
+            Message answer = client.read();
+            assertEquals("r" + i, answer.text());
+            boolean last = "close".equals(answer.header("Connection"));
+            ended += last ? 1 : 0;
+            assertTrue(i >= 10 || !last, "few clients are kept");
+        }
+        assertTrue(ended > 40, ended + " of 60 were let go");
+    }
+
     @Test
     void moreBodiesThanFitAreRefused() {
         BodyBudget budget = new BodyBudget(100);
