--- a/src/main/java/passhatch/proxy/ClientConnection.java
+++ b/src/main/java/passhatch/proxy/ClientConnection.java
@@ -1,24 +1,19 @@
 package passhatch.proxy;
 
-import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.DefaultHttpContent;
-import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
@@ -37,15 +32,13 @@
     private static final int MOST_PIPELINED = 4;
     /** A connection is closed so long after an answer that ends it: at once, a reset could overtake it. */
     private static final long LINGER_MS = 200;
-
     /** A request that is answered before all of it is in may go on for so long. */
     private static final long MOST_REST_MS = 2_000;
-
     /** A client that takes nothing of an answer for so long is gone. */
     private static final int WRITE_TIMEOUT_S = 10;
 
     /** A request on a connection, until its answer is written. */
-    private static final class Turn implements ProxyLoop.Responder, RequestBody.Source {
+    private static final class Turn implements ProxyLoop.Responder, RequestBody.Source, AnswerStream.Owner {
         private final ClientConnection connection;
         private final HttpRequest head;
         private final RequestBody body;
@@ -71,11 +64,28 @@
 
         @Override
         public BackendPool.AnswerSink stream(long length, Runnable readOn) {
-            stream = connection.new AnswerStream(this, length, readOn);
+            stream = new AnswerStream(connection.channel, head.protocolVersion(), length, readOn, this);
             connection.writeAnswers();
             return stream;
         }
 
+        @Override
+        public void ended() {
+            connection.writeAnswers();
+        }
+
+        @Override
+        public void brokenBeforeItsTurn() {
+            stream = null;
+            answer(Answer.failed());
+        }
+
+        @Override
+        public void broken() {
+            connection.noMore = true;
+            connection.close();
+        }
+
         @Override
         public void readOn() {
             connection.readOn();
@@ -90,7 +100,7 @@
 
         /** The id by which the proxy holds it while it owes an answer, or null. */
         private String owed() {
-            return answer == null && (stream == null || !stream.ended) ? id : null;
+            return answer == null && (stream == null || !stream.isEnded()) ? id : null;
         }
 
         private void drop() {
@@ -103,111 +113,6 @@
         }
     }
 
-    /** An answer that is passed on as it comes; it waits for those before it. */
-    private final class AnswerStream implements BackendPool.AnswerSink {
-        private final Turn turn;
-        private final long length;
-        private final Runnable readOn;
-        /** What has come before its turn has: no more than one read brings. */
-        private final ArrayDeque<ByteBuf> early = new ArrayDeque<>();
-        private boolean begun;
-        private boolean ended;
-        private boolean released;
-        private boolean keepsAlive;
-        private ChannelFuture last;
-
-        AnswerStream(Turn turn, long length, Runnable readOn) {
-            this.turn = turn;
-            this.length = length;
-            this.readOn = readOn;
-        }
-
-        @Override
-        public void part(ByteBuf bytes) {
-            if (released) {
-                bytes.release();
-            } else if (begun) {
-                last = channel.writeAndFlush(new DefaultHttpContent(bytes));
-            } else {
-                early.add(bytes);
-            }
-        }
-
-        @Override
-        public boolean isWritable() {
-            return begun && channel.isWritable();
-        }
-
-        @Override
-        public void end() {
-            ended = true;
-            writeAnswers();
-        }
-
-        /** The client can tell: the length, or the last chunk, is missing, or the connection is reset. */
-        @Override
-        public void broken() {
-            ended = true;
-            if (!begun) {
-                release();
-                turn.stream = null;
-                turn.answer(Answer.failed());
-                return;
-            }
-            if (!isFramed()) {
-                channel.config().setOption(ChannelOption.SO_LINGER, 0);
-            }
-            noMore = true;
-            close();
-        }
-
-        private boolean isFramed() {
-            return length >= 0 || isChunked();
-        }
-
-        private boolean isChunked() {
-            return length < 0 && turn.head.protocolVersion().equals(HttpVersion.HTTP_1_1);
-        }
-
-        /** Its turn has come. */
-        private void begin() {
-            begun = true;
-            HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
-            if (length >= 0) {
-                response.headers().set(HttpHeaderNames.CONTENT_LENGTH, length);
-            } else if (isChunked()) {
-                response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
-            }
-            keepsAlive = isFramed() && keepsAlive(turn);
-            if (!keepsAlive) {
-                response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-            }
-            channel.write(response);
-            while (!early.isEmpty()) {
-                channel.write(new DefaultHttpContent(early.poll()));
-            }
-            channel.flush();
-            if (channel.isWritable()) {
-                readOn.run();
-            }
-        }
-
-        /** Its last byte is in. */
-        private void finish() {
-            answeredUs = server.nowUs();
-            last = channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
-            if (!keepsAlive) {
-                ClientConnection.this.end(last);
-            }
-        }
-
-        private void release() {
-            released = true;
-            early.forEach(ByteBuf::release);
-            early.clear();
-        }
-    }
-
     private final ClientServer server;
     private final Channel channel;
     private final RequestDecoder decoder = new RequestDecoder();
@@ -416,8 +321,8 @@
         paceReading();
         readOn();
         Turn first = turns.peek();
-        if (first != null && first.stream != null && first.stream.isWritable() && !first.stream.ended) {
-            first.stream.readOn.run();
+        if (first != null && first.stream != null) {
+            first.stream.writable();
         }
     }
 
@@ -458,13 +363,15 @@
                 write(turn.answer, keepsAlive(turn));
                 turn.drop();
             } else if (turn.stream != null) {
-                if (!turn.stream.begun) {
-                    turn.stream.begin();
-                }
-                goesOn = turn.stream.ended && !turn.stream.released;
+                turn.stream.begin(keepsAlive(turn));
+                goesOn = turn.stream.isWhole();
                 if (goesOn) {
                     turns.poll();
-                    turn.stream.finish();
+                    answeredUs = server.nowUs();
+                    ChannelFuture written = turn.stream.finish();
+                    if (!turn.stream.keepsAlive()) {
+                        end(written);
+                    }
                     turn.drop();
                 }
             } else {
@@ -546,7 +453,7 @@
     }
 
     private void fail() {
-        boolean owed = !turns.isEmpty() && (turns.peek().stream == null || !turns.peek().stream.begun);
+        boolean owed = !turns.isEmpty() && (turns.peek().stream == null || !turns.peek().stream.isBegun());
         noMore = true;
         abandon();
         if (owed) {
--- a/src/main/java/passhatch/proxy/ClientServer.java
+++ b/src/main/java/passhatch/proxy/ClientServer.java
@@ -240,9 +240,9 @@
     }
 
     /**
-     * Whether the last answer that a connection owes ends it. Guards against a crowd that asks and stays: kept
-     * connections would use up the places, and while none is free, those that wait to be accepted grow so old
-     * that their clients have left by the time they are served.
+     * Whether the last answer that a connection owes ends it. Guards against a crowd that asks and stays:
+     * kept connections would use up the places, and while none is free, those that wait to be accepted grow
+     * so old that their clients have left by the time they are served.
      */
     boolean answersEndConnections() {
         return drain.answersEndConnections() || connections.size() > mostOpen * CROWDED;
--- a/src/main/java/passhatch/proxy/RequestBody.java
+++ b/src/main/java/passhatch/proxy/RequestBody.java
@@ -143,7 +143,8 @@
         receiver = to;
         endGiven = false;
         if (size > 0) {
-            to.part(Unpooled.copiedBuffer(held, 0, size));
+            // Bytes that are held never change; more may only come behind them.
+            to.part(Unpooled.wrappedBuffer(held, 0, size));
         }
         resume();
     }
