Handover: what holds is written again over a file that is spoilt

A file spoilt while both processes live would have cost a successor the bans, and a change at the one that could not read it would have been passed over by the other, whose version was higher. Test: HandoverTest, seen to fail without.

--- a/src/main/java/passhatch/proxy/Handover.java
+++ b/src/main/java/passhatch/proxy/Handover.java
@@ -107,7 +107,10 @@
                 return;
             }
             readState();
-            SharedState next = edit.apply(state).withVersion(state.version() + 1);
+            // Above what the other follows too: it may have read a file that this process could not.
+            long latest = peers.stream().mapToLong(StateFolder.Peer::follows)
+                    .reduce(state.version(), Math::max);
+            SharedState next = edit.apply(state).withVersion(latest + 1);
             folder.writeState(next);
             follow(next);
             look();
@@ -149,6 +152,10 @@
         } catch (IOException | RuntimeException bad) {
             log.line("handover: what staff set cannot be read and is ignored: "
                     + String.valueOf(bad.getMessage()).lines().findFirst().orElse(""));
+            if (state.version() > 0) {
+                // What this process follows still holds, and has to outlive it.
+                folder.writeState(state);
+            }
             return;
         }
         if (set.version() > state.version()) {
--- a/src/test/java/passhatch/proxy/HandoverTest.java
+++ b/src/test/java/passhatch/proxy/HandoverTest.java
@@ -161,6 +161,22 @@
         }
     }
 
+    /** A file that is spoilt while a process lives takes nothing from it, nor from its successor. */
+    @Test
+    void whatHoldsIsWrittenAgainOverWhatIsSpoilt() throws Exception {
+        Side first = new Side(folder);
+        assertTrue(first.setOut("a", true));
+        Files.writeString(state(), "{");
+        first.hasSuccessor();
+        Side second = new Side(folder);
+        assertEquals(Set.of("a"), second.next().out());
+        assertTrue(second.setOut("b", true));
+        assertEquals(Set.of("a"), first.next().out());
+        assertEquals(Set.of("a", "b"), first.next().out());
+        first.close();
+        second.close();
+    }
+
     /** A process may die at any point of writing; only what has its name counts. */
     @Test
     void whatWasLeftHalfWrittenIsNotRead() throws Exception {
