Close no connection, and end no process, before a long answer is taken

Found by reading: a connection whose answer was in, but not yet handed to the network, passed for idle; a drain, an eviction or the end of the process would have cut it off. Streams still running at the end of SIGTERM's time were cut too, where only SIGKILL need end them. Tests: ClientConnectionTest, seen to fail without; the one over sockets in LargeBodiesTest passes without as well, as the kernel seldom leaves bytes over at that moment.

--- a/src/main/java/passhatch/proxy/ClientConnection.java
+++ b/src/main/java/passhatch/proxy/ClientConnection.java
@@ -152,7 +152,13 @@
 
     /** Whether it may be closed for another: no request is open and none has begun to come in. */
     boolean isIdle() {
-        return turns.isEmpty() && partSinceUs == 0 && !noMore;
+        return turns.isEmpty() && partSinceUs == 0 && !noMore && !hasUnsent();
+    }
+
+    /** Whether some of an answer has not been handed to the network yet: closed now, it would be cut off. */
+    boolean hasUnsent() {
+        return channel.isActive()
+                && channel.bytesBeforeUnwritable() < channel.config().getWriteBufferHighWaterMark();
     }
 
     boolean hasAsked() {
--- a/src/main/java/passhatch/proxy/ClientServer.java
+++ b/src/main/java/passhatch/proxy/ClientServer.java
@@ -128,6 +128,11 @@
         }
     }
 
+    /** Whether some of an answer has not been handed to the network yet. */
+    boolean hasUnsent() {
+        return connections.stream().anyMatch(ClientConnection::hasUnsent);
+    }
+
     /** Closes the connections on which nothing is out, as clients expect between requests. */
     void closeIdle() {
         List.copyOf(connections).stream().filter(ClientConnection::isIdle)
--- a/src/main/java/passhatch/proxy/ProxyLoop.java
+++ b/src/main/java/passhatch/proxy/ProxyLoop.java
@@ -333,9 +333,7 @@
 
     /** Guards against a request that the module holds too long: it is answered here, just in time. */
     private void overdue(Exchange e) {
-        if (!e.answered && e.stream != null) {
-            e.stream.handle.cancel();
-        } else if (!e.answered) {
+        if (!e.answered && e.stream == null) {
             log.line(Kind.REQUEST, "request " + e.request.id() + " was not answered in time by the module");
             answer(e, e.mayHaveRun() ? Answer.failed() : Answer.refused(0));
             tell(e, () -> balancer.clientGone(clock.nowUs(), e.request.id()));
@@ -343,9 +341,12 @@
         }
     }
 
-    /** Ends all that is open, as this process is about to: nothing taken may stay without an answer. */
+    /**
+     * Ends all that is open, as this process is about to: nothing taken may stay without an answer. Answers
+     * that have begun go on; cut off here they would be lost for certain.
+     */
     void answerAll() {
-        List.copyOf(exchanges.values()).forEach(this::overdue);
+        List.copyOf(exchanges.values()).stream().filter(e -> e.stream == null).forEach(this::overdue);
     }
 
     private void attemptEnded(Exchange e, Attempt attempt, Result result) {
--- a/src/main/java/passhatch/proxy/ProxyServer.java
+++ b/src/main/java/passhatch/proxy/ProxyServer.java
@@ -34,6 +34,7 @@
     /** SIGKILL comes no sooner than the longest deadline, or this, and 0.7 s more after SIGTERM. */
     private static final long MOST_DEADLINE_MS = 3_000;
     private static final long SWEEP_MS = 250;
+    private static final long SENT_CHECK_MS = 10;
     /** After that deadline what is left is answered within this time, so that SIGKILL finds nothing. */
     private static final long END_SLACK_MS = 400;
     /**
@@ -311,15 +312,24 @@
             loop.schedule(() -> {
                 drain.letGo();
                 clients.closeIdle();
-                proxy.whenIdle(this::end);
+                proxy.whenIdle(this::endOnceSent);
             }, (succeeded ? 0 : ACCEPT_ON_MS) + READ_ON_MS, TimeUnit.MILLISECONDS);
             loop.schedule(() -> {
                 proxy.answerAll();
-                end();
+                proxy.whenIdle(this::endOnceSent);
             }, Math.min(longestDeadlineMs, MOST_DEADLINE_MS) + END_SLACK_MS, TimeUnit.MILLISECONDS);
         });
     }
 
+    /** Ends once the network has taken all answers; a slow client may take its time over a long one. */
+    private void endOnceSent() {
+        if (clients.hasUnsent()) {
+            loop.schedule(this::endOnceSent, SENT_CHECK_MS, TimeUnit.MILLISECONDS);
+        } else {
+            end();
+        }
+    }
+
     /** Waits until it has shut down. */
     boolean awaitEnd(long ms) throws InterruptedException {
         return ended.await(ms, TimeUnit.MILLISECONDS);
--- /dev/null
+++ b/src/test/java/passhatch/proxy/ClientConnectionTest.java
@@ -0,0 +1,54 @@
+package passhatch.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelOutboundBuffer;
+import io.netty.channel.DefaultEventLoop;
+import io.netty.channel.EventLoop;
+import io.netty.channel.embedded.EmbeddedChannel;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** What a connection says of itself, on a network that takes bytes only when told to. */
+final class ClientConnectionTest {
+
+    private final EventLoop loop = new DefaultEventLoop();
+
+    @AfterEach
+    void tearDown() {
+        loop.shutdownGracefully();
+    }
+
+    /** A network that may be full. */
+    private static final class Network extends EmbeddedChannel {
+        private boolean full;
+
+        @Override
+        protected void doWrite(ChannelOutboundBuffer in) throws Exception {
+            if (!full) {
+                super.doWrite(in);
+            }
+        }
+    }
+
+    /** Drains, evictions and the end of the process close what is idle. */
+    @Test
+    void isNotIdleWhileSomeOfAnAnswerIsUnsent() {
+        Network network = new Network();
+        ClientServer server = new ClientServer(loop, new Clock(), new EventLog(System.err), null, null, 10,
+                null, new DrainState(loop));
+        ClientConnection connection = new ClientConnection(server, network, 1);
+        assertTrue(connection.isIdle());
+        network.full = true;
+        network.writeAndFlush(Unpooled.wrappedBuffer(new byte[100]));
+        assertTrue(connection.hasUnsent());
+        assertFalse(connection.isIdle());
+        network.full = false;
+        network.flush();
+        assertFalse(connection.hasUnsent());
+        assertTrue(connection.isIdle());
+        network.finishAndReleaseAll();
+    }
+}
--- a/src/test/java/passhatch/proxy/LargeBodiesTest.java
+++ b/src/test/java/passhatch/proxy/LargeBodiesTest.java
@@ -259,6 +259,48 @@
         assertArrayEquals(bytes, readAnswer(client));
     }
 
+    /** All of it has come from the backend, but a slow client has not taken all of it yet. */
+    @Test
+    void theEndOfTheProcessWaitsUntilALongAnswerIsTaken() throws Exception {
+        CountDownLatch written = new CountDownLatch(1);
+        int much = 24 << 20;
+        rig.console("127.0.0.1:0");
+        start((connection, start) -> {
+            readBody(connection);
+            connection.write("HTTP/1.1 200 OK\r\nContent-Length: " + much + "\r\n\r\n");
+            byte[] part = new byte[1 << 16];
+            for (int i = 0; i < much / part.length; i++) {
+                connection.write(part);
+            }
+            written.countDown();
+        });
+        Http client = new Http(unreadySocket());
+        client.write(Rig.get("r1", ""));
+        for (String line = client.line(); !line.isEmpty();) {
+            line = client.line();
+        }
+        int got = 0;
+        while (written.getCount() > 0) {
+            got += exactly(client, 1 << 10).length;
+        }
+        while (!counters().contains("edge_proxy.concurrent=0")) {
+            got += exactly(client, 1 << 11).length;
+        }
+        Http unused = rig.client();
+        rig.proxy().shutDown();
+        assertNull(unused.read(), "idle connections are closed");
+        assertEquals(much - got, client.in().readNBytes(much - got).length);
+        assertTrue(rig.proxy().awaitEnd(Http.PATIENCE_MS));
+        client.close();
+    }
+
+    private String counters() throws IOException {
+        try (Http caller = Http.to(rig.proxy().consoleAddress())) {
+            caller.write("GET /control/counters HTTP/1.1\r\nHost: c\r\n\r\n");
+            return caller.read().text();
+        }
+    }
+
     /** Its first bytes are passed on while the rest has yet to come. */
     @ParameterizedTest
     @ValueSource(strings = {"Content-Length: 100000", "Transfer-Encoding: chunked"})
