--- a/src/test/java/passhatch/proxy/BadClientsTest.java
+++ b/src/test/java/passhatch/proxy/BadClientsTest.java
@@ -76,6 +76,18 @@
         assertTrue(backend.received.isEmpty());
     }
 
+    /** HTTP/1.0 has no codings: whoever stands behind may take the chunks for another request. */
+    @Test
+    void chunksOfAnOldClientAreTurnedDown() throws Exception {
+        start();
+        Http client = rig.client();
+        client.write("POST /move HTTP/1.0\r\nX-Request-Id: outer\r\nTransfer-Encoding: chunked"
+                + "\r\n\r\n0\r\n\r\n" + HIDDEN);
+        assertEquals(400, client.read().status());
+        assertNull(client.read());
+        assertTrue(backend.received.isEmpty());
+    }
+
     @ParameterizedTest
     @ValueSource(strings = {"", "Expect: 100-continue\r\n"})
     void anOversizedBodyIsTurnedDownUnread(String expect) throws Exception {
