Take a request for begun once its first line is in

At fault: RequestDecoder.holdsMore counts bytes, but the decoder keeps none of lines that have ended, so a head cut at a line's end passed for none at all, and its connection for idle. Ruled out: partSinceUs, which goes by holdsMore. Test: ConsoleTest, seen to fail without.

--- a/src/main/java/passhatch/proxy/ClientConnection.java
+++ b/src/main/java/passhatch/proxy/ClientConnection.java
@@ -201,6 +201,9 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, HttpObject part) {
+        if (part instanceof HttpRequest) {
+            decoder.arrived();
+        }
         if (noMore) {
             if (endsWithRequest && part instanceof LastHttpContent) {
                 close();
--- a/src/test/java/passhatch/proxy/ConsoleTest.java
+++ b/src/test/java/passhatch/proxy/ConsoleTest.java
@@ -270,6 +270,26 @@
         assertNull(rig.call(Rig.get("again", "")).header("Connection"));
     }
 
+    /** What has come so far ends with a line, so the decoder keeps none of its bytes. */
+    @Test
+    void aDrainWaitsForARequestThatHasBegunToComeIn() throws Exception {
+        ScriptedServer backend = ScriptedServer.saying("ok");
+        rig.start(Rig.entry("s", backend.address(), "SERVING"));
+        Http kept = rig.client();
+        kept.write(Rig.get("a", ""));
+        assertEquals("ok", kept.read().text());
+        Http idle = rig.client();
+        idle.write(Rig.get("b", ""));
+        assertEquals("ok", idle.read().text());
+        assertEquals(200, status("POST /control/out-of-service"));
+        String request = Rig.get("slow", "");
+        int line = request.indexOf("\r\n") + 2;
+        kept.write(request.substring(0, line));
+        assertNull(idle.read(), "what is idle is closed");
+        kept.write(request.substring(line));
+        assertEquals("ok", kept.read().text());
+    }
+
     @Test
     void aDrainBrokenOffHalfWayClosesNothing() throws Exception {
         ScriptedServer backend = ScriptedServer.saying("ok");
