--- a/src/test/java/passhatch/proxy/UpgradeTest.java
+++ b/src/test/java/passhatch/proxy/UpgradeTest.java
@@ -60,7 +60,10 @@
             proxy = new ProxyProcess(env, listen);
             long end = System.nanoTime() + Http.PATIENCE_MS * 1_000_000L;
             while (!says("GET /control/ready")) {
-                assertTrue(System.nanoTime() < end, "it did not get ready");
+                if (System.nanoTime() > end) {
+                    proxy.close();
+                    throw new AssertionError("it did not get ready");
+                }
                 Thread.sleep(10);
             }
         }
