Start no flight recorder: Netty set it up at the first buffer of each proxy

Cause: the class-load log of a start shows jdk.jfr.internal and 23 generated proxies between 0.52 s and 0.71 s, right after io.netty.buffer.AllocateChunkEvent. Netty's allocator has flight-recorder events, and the first one asked about sets the whole recorder up, though nobody records. NettyDefaults switches them off before Netty's classes load.

--- a/src/main/java/passhatch/proxy/ProxyServer.java
+++ b/src/main/java/passhatch/proxy/ProxyServer.java
@@ -86,6 +86,7 @@
         if (!HangUpSignal.onEach(() -> started.thenAccept(s -> s.reload(env)))) {
             err.println("passhatch: SIGHUP cannot be handled here and ends the process");
         }
+        NettyDefaults.set();
         ProxyServer server;
         try {
             server = start(ProxyConfig.read(env), new EventLog(err), Logic::new);
--- a/src/main/java/passhatch/proxy/Rehearsal.java
+++ b/src/main/java/passhatch/proxy/Rehearsal.java
@@ -48,6 +48,7 @@
 
     /** Plays it; what cannot be played is said and costs only the archive. */
     public static int run(PrintStream err) throws InterruptedException {
+        NettyDefaults.set();
         HangUpSignal.onEach(() -> { });
         try (ServerSocket others = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
             Path folder = Files.createTempDirectory("rehearsal");
--- a/src/test/java/passhatch/proxy/RehearsalTest.java
+++ b/src/test/java/passhatch/proxy/RehearsalTest.java
@@ -1,6 +1,7 @@
 package passhatch.proxy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.ByteArrayOutputStream;
@@ -63,6 +64,20 @@
         }
     }
 
+    /** Netty's own events would set it up at the first buffer, for a third of a start's processor time. */
+    @Test
+    void noFlightRecorderIsSetUp() throws Exception {
+        Path log = folder.resolve("loaded");
+        Process rehearsal = new ProcessBuilder(tool("java"), "-Xlog:class+load:file=" + log, "-cp",
+                System.getProperty("java.class.path"), "passhatch.adapter.Main", "rehearse").inheritIO()
+                .start();
+        assertTrue(rehearsal.waitFor(Http.PATIENCE_MS, TimeUnit.MILLISECONDS));
+        assertEquals(0, rehearsal.exitValue());
+        String loaded = Files.readString(log);
+        assertTrue(loaded.contains(" io.netty.buffer.AdaptivePoolingAllocator "), "no buffer was made");
+        assertFalse(loaded.contains(" jdk.jfr.internal.MetadataLoader "), "the flight recorder is set up");
+    }
+
     private static String tool(String name) {
         return Path.of(System.getProperty("java.home"), "bin", name).toString();
     }
