--- a/src/test/java/passhatch/proxy/RehearsalTest.java
+++ b/src/test/java/passhatch/proxy/RehearsalTest.java
@@ -12,6 +12,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
@@ -67,15 +68,33 @@
     /** Netty's own events would set it up at the first buffer, for a third of a start's processor time. */
     @Test
     void noFlightRecorderIsSetUp() throws Exception {
+        String loaded = loadedByRehearsal();
+        assertTrue(loaded.contains(" io.netty.buffer.AdaptivePoolingAllocator "), "no buffer was made");
+        assertFalse(loaded.contains(" jdk.jfr.internal.MetadataLoader "), "the flight recorder is set up");
+    }
+
+    /** Each shape of concatenation would be put together at run time, where it is first used. */
+    @Test
+    void stringsAreConcatenatedByCodeOfTheBuild() throws IOException {
+        try (Stream<Path> files = Files.walk(Path.of("target/classes"))) {
+            List<Path> classes = files.filter(f -> f.toString().endsWith(".class")).toList();
+            assertFalse(classes.isEmpty());
+            for (Path file : classes) {
+                assertFalse(Files.readString(file, StandardCharsets.ISO_8859_1)
+                        .contains("makeConcatWithConstants"), file.toString());
+            }
+        }
+    }
+
+    /** The names of the classes that a start and its first calls load, with a blank on either side. */
+    private String loadedByRehearsal() throws Exception {
         Path log = folder.resolve("loaded");
         Process rehearsal = new ProcessBuilder(tool("java"), "-Xlog:class+load:file=" + log, "-cp",
                 System.getProperty("java.class.path"), "passhatch.adapter.Main", "rehearse").inheritIO()
                 .start();
         assertTrue(rehearsal.waitFor(Http.PATIENCE_MS, TimeUnit.MILLISECONDS));
         assertEquals(0, rehearsal.exitValue());
-        String loaded = Files.readString(log);
-        assertTrue(loaded.contains(" io.netty.buffer.AdaptivePoolingAllocator "), "no buffer was made");
-        assertFalse(loaded.contains(" jdk.jfr.internal.MetadataLoader "), "the flight recorder is set up");
+        return Files.readString(log);
     }
 
     private static String tool(String name) {
