Name a process's sign of life without setting up the JDK's security providers

Seen: in the class-load log of a start with a console, UUID.randomUUID of StateFolder brings in SecureRandom, its providers, SHA and their VarHandles with six method handles made at run time: 0.46 s to 0.52 s of a start of 0.78 s.

The id has to be unlike those of the few processes that ever share a folder, not secret: it is the start's time and a random number now, and a clash would still fail aloud (CREATE_NEW). The rehearsal's own folder did the same by Files.createTempDirectory, which would hide it from the test.

--- a/src/main/java/passhatch/proxy/Rehearsal.java
+++ b/src/main/java/passhatch/proxy/Rehearsal.java
@@ -51,7 +51,9 @@
         NettyDefaults.set();
         HangUpSignal.onEach(() -> { });
         try (ServerSocket others = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
-            Path folder = Files.createTempDirectory("rehearsal");
+            // Not one of the JDK's making: that would set up what a start must do without.
+            Path folder = Files.createDirectory(Path.of(System.getProperty("java.io.tmpdir"),
+                    "rehearsal-" + ProcessHandle.current().pid() + '-' + System.nanoTime()));
             Path config = folder.resolve("config.json");
             try {
                 String here = "127.0.0.1:" + others.getLocalPort();
--- a/src/main/java/passhatch/proxy/StateFolder.java
+++ b/src/main/java/passhatch/proxy/StateFolder.java
@@ -16,7 +16,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.UUID;
+import java.util.SplittableRandom;
 
 /**
  * The files by which the processes of one proxy know of each other: what staff set, and for each process a
@@ -38,8 +38,10 @@
 
     private final Path folder;
     private final String prefix;
-    private final String id = UUID.randomUUID().toString();
     private final long startedMs = System.currentTimeMillis();
+    /** Unlike any other's. A UUID would have the JDK's security providers set up first, while clients wait. */
+    private final String id = Long.toHexString(startedMs) + '-'
+            + Long.toHexString(new SplittableRandom().nextLong());
     private final FileChannel life;
 
     /** Shows that this process lives; it does not serve yet. */
--- a/src/test/java/passhatch/proxy/RehearsalTest.java
+++ b/src/test/java/passhatch/proxy/RehearsalTest.java
@@ -86,6 +86,12 @@
         }
     }
 
+    /** They cost a tenth of a start, for a random id that needs no secrecy. */
+    @Test
+    void noSecurityProviderIsSetUp() throws Exception {
+        assertFalse(loadedByRehearsal().contains(" sun.security.provider.NativePRNG "));
+    }
+
     /** The names of the classes that a start and its first calls load, with a blank on either side. */
     private String loadedByRehearsal() throws Exception {
         Path log = folder.resolve("loaded");
