Write out the hash code that a start needs in place of a record's own

Seen: as the first list of backends comes in, the class-load log of a start shows java.lang.runtime.ObjectMethods and method handles made at run time for 13 ms: Target is the key of the pool's map, and a record's equals and hashCode are linked at first use. Handover's removeAll did the same at the first call of staff.

--- a/src/main/java/passhatch/proxy/BackendPool.java
+++ b/src/main/java/passhatch/proxy/BackendPool.java
@@ -75,7 +75,18 @@
     /**
      * A backend: connections stand for its id as well as its address, as another may take the address over.
      */
-    record Target(String id, InetSocketAddress address) { }
+    record Target(String id, InetSocketAddress address) {
+        // Written out: a record's own are put together at run time, just as the first list has come in.
+        @Override
+        public boolean equals(Object other) {
+            return other instanceof Target target && id.equals(target.id) && address.equals(target.address);
+        }
+
+        @Override
+        public int hashCode() {
+            return id.hashCode();
+        }
+    }
 
     /** Hears how a call ended, once. */
     interface Listener {
--- a/src/main/java/passhatch/proxy/Handover.java
+++ b/src/main/java/passhatch/proxy/Handover.java
@@ -182,12 +182,15 @@
 
     private void answerWaiting() {
         long now = System.nanoTime();
-        List<Waiting> over = waiting.stream().filter(w -> now - w.untilNs() >= 0
-                || peers.stream().allMatch(p -> p.follows() >= w.version())).toList();
-        waiting.removeAll(over);
+        List<Waiting> over = new ArrayList<>();
+        waiting.removeIf(w -> isOver(w, now) && over.add(w));
         over.forEach(w -> w.done().accept(true));
     }
 
+    private boolean isOver(Waiting w, long nowNs) {
+        return nowNs - w.untilNs() >= 0 || peers.stream().allMatch(p -> p.follows() >= w.version());
+    }
+
     /** Takes this process's signs away; what is set stays. */
     void close() {
         if (folder == null) {
--- a/src/test/java/passhatch/proxy/RehearsalTest.java
+++ b/src/test/java/passhatch/proxy/RehearsalTest.java
@@ -92,6 +92,12 @@
         assertFalse(loadedByRehearsal().contains(" sun.security.provider.NativePRNG "));
     }
 
+    /** A record's own hash code is put together at run time, at the first list of backends. */
+    @Test
+    void noMethodOfARecordIsMadeAtRunTime() throws Exception {
+        assertFalse(loadedByRehearsal().contains(" java.lang.runtime.ObjectMethods "));
+    }
+
     /** The names of the classes that a start and its first calls load, with a blank on either side. */
     private String loadedByRehearsal() throws Exception {
         Path log = folder.resolve("loaded");
