--- a/src/main/java/passhatch/proxy/StateFolder.java
+++ b/src/main/java/passhatch/proxy/StateFolder.java
@@ -39,7 +39,7 @@
     private final Path folder;
     private final String prefix;
     private final long startedMs = System.currentTimeMillis();
-    /** Unlike any other's. A UUID would have the JDK set up its security providers first, while clients wait. */
+    /** Unlike any other's. A UUID would set up the JDK's security providers first, while clients wait. */
     private final String id = Long.toHexString(startedMs) + '-'
             + Long.toHexString(new SplittableRandom().nextLong());
     private final FileChannel life;
