Remember a server put back by hand until a call reaches it, whatever the list says

Two causes were thought of.

The list tells late. The two servers leave the list while they are out (6.4 s to 9.2 s, 15.6 s to 17.5 s) and are called back 0.5 s and 0.9 s after their return, so a proxy may hear of their restart only after the call. learn() then made a new Backend without its `returning` mark, and putBack() did not mark one that was not listed: outside the circle of four that each proxy keeps to it got no call. No calls at all.

It has no mend here, as n2 can send only what it is asked.

--- a/src/main/java/passhatch/Logic.java
+++ b/src/main/java/passhatch/Logic.java
@@ -124,7 +124,11 @@
     private final Set<String> named = new LinkedHashSet<>();
     /** Servers taken out by hand. They are kept beside the list, so that no list brings one back. */
     private final Set<String> out = new HashSet<>();
-    /** Whether a server that was put back may still wait for its first call. */
+    /**
+     * Servers put back by hand that no call has reached since; by id, as the list may tell of their restart,
+     * or bring them again, only later. And whether one of those in use now is among them.
+     */
+    private final Set<String> returned = new HashSet<>();
     private boolean returning;
     private final Map<String, Call> calls = new HashMap<>();
     /** Calls for which no server may be used now, oldest first. */
@@ -236,6 +240,7 @@
             String id = earliest.next();
             if (!inList.contains(id) && !out.contains(id)) {
                 earliest.remove();
+                returned.remove(id);
             }
         }
     }
@@ -279,9 +284,19 @@
             if (begun || share(s, nowUs) < 1) {
                 enter(nowUs, s);
             }
+            if (returned.contains(s.id)) {
+                comeBack(nowUs, s);
+            }
         }
     }
 
+    /** Lets a server that was put back by hand have its first call soon. */
+    private void comeBack(long nowUs, Backend s) {
+        s.entryAtUs = Math.min(s.entryAtUs, nowUs + (long) (random.nextDouble() * RETURN_US));
+        s.returning = true;
+        returning = true;
+    }
+
     /**
      * A server that drains must not be kept up by idle connections: they are closed at the notice, and those
      * in use then at the outcome that ends their use.
@@ -744,6 +759,7 @@
         call.out--;
         if (attempt.server.returning && (!outcome.provesNotRun || outcome == Outcome.FULL)) {
             attempt.server.returning = false;
+            returned.remove(attempt.server.id);
             returning = servers.stream().anyMatch(s -> s.returning);
         }
         if (attempt.server.out) {
@@ -928,6 +944,7 @@
     @Override
     public void takeOut(long nowUs, String server) {
         if (out.add(server)) {
+            returned.remove(server);
             Backend s = byId.get(server);
             if (s != null) {
                 s.out = true;
@@ -944,15 +961,14 @@
             return;
         }
         actions.log(server + " is back by hand");
+        returned.add(server);
         Backend s = byId.get(server);
         if (s != null) {
             s.out = false;
             s.renew(nowUs);
             if (s.listed) {
                 enter(nowUs, s);
-                s.entryAtUs = Math.min(s.entryAtUs, nowUs + (long) (random.nextDouble() * RETURN_US));
-                s.returning = true;
-                returning = true;
+                comeBack(nowUs, s);
             }
             advance(nowUs);
         }
--- a/src/test/java/passhatch/LogicTest.java
+++ b/src/test/java/passhatch/LogicTest.java
@@ -1444,6 +1444,40 @@
             assertEquals(circle, later, "then the copy keeps to its circle again");
         }
 
+        /** The list tells late that it was restarted, or that it was gone meanwhile. */
+        @Test
+        void getsACallSoonAlsoWhereTheListTellsOfItsRestartAfterItsReturn() {
+            for (boolean gone : List.of(false, true)) {
+                Proxy.Setup many = setup();
+                many.copies = 4;
+                Proxy p = new Proxy(many).with("a", "b", "c", "d", "e", "f", "g");
+                Set<String> circle = new HashSet<>();
+                for (int i = 0; i < 40; i++) {
+                    circle.add(p.serve());
+                }
+                for (String server : List.of("a", "b", "c", "d", "e", "f", "g")) {
+                    p.logic.takeOut(p.now, server);
+                    if (gone) {
+                        p.change(server, 0, ServerStatus.GONE);
+                    }
+                    p.logic.putBack(p.now, server);
+                    p.pass(50);
+                    p.change(server, p.now, ServerStatus.UP);
+                    boolean used = false;
+                    for (int i = 0; i < 100 && !used; i++) {
+                        String call = p.request(Proxy.SAFE);
+                        if (p.at(call) != null) {
+                            used = p.at(call).equals(server);
+                            p.end(call, Outcome.OK);
+                        }
+                        p.pass(40);
+                    }
+                    assertTrue(used, server + " is left unused, gone: " + gone);
+                    p.pass(20_000);
+                }
+            }
+        }
+
         /** Failures of the process that was taken out say nothing of the one that is back. */
         @Test
         void isNotLeftToRestAfterItsReturn() {
