Rest a server for errors only beyond what chance makes of the others' share

The resting servers err no more than others do; all break 8 to 30 of 100 connections or calls.

Causes thought of: (1) failed connects rest them: 0 to 4 in 5 s, too few. (2) Servers that really err: their shares (0 to 47 of 100, running) change places within a second. (3) Chance: judgeErrors rested a server at a share above 0.35, and with a weight of 0.2 for the newest answer that is two breaks in a row; where one call in eight breaks, that comes once in 64 calls, some every second, and each rest lasts 3 s and doubles.

Now the share has to exceed the others' by four times the spread that chance gives such a running share too. Where the others do not err nothing changes: one bad server still rests after two errors. Tests: chance alone rests none (fails without the change), one that breaks nine in ten rests also among such.

--- a/src/main/java/passhatch/Logic.java
+++ b/src/main/java/passhatch/Logic.java
@@ -90,6 +90,8 @@
     private static final double CUT = 0.02;
     /** Share of errors above which a server may rest for it. */
     private static final double ERRORS = 0.35;
+    /** And so many times the spread that its share has by chance: one streak in thousands of calls passes it. */
+    private static final double BEYOND_CHANCE = 4;
     /** A slow server is tried again after this long at the latest, as it may have recovered. */
     private static final double MOST_LATE_US = 24_000_000;
     /** A tenant may send as much at once as its share is in this time, in which a copy may restart. */
@@ -831,13 +833,28 @@
         errors += ERROR_WEIGHT * ERROR_WEIGHT * ((error ? 1 : 0) - errors);
         if (!error) {
             s.errorRests = s.errors < ERRORS / 2 ? 0 : s.errorRests;
-        } else if (s.errors > ERRORS && s.errors > 2 * errors && mostStay(nowUs)) {
+        } else if (s.errors > ERRORS && s.errors > 2 * errors && beyondChance(s) && mostStay(nowUs)) {
             s.restUntilUs = nowUs + (FAIL_TIMEOUT_US << Math.min(s.errorRests++, MOST_DOUBLINGS));
             s.errors = ERRORS;
             say(nowUs, s.id, " rests: it errs or breaks connections far more often than others");
         }
     }
 
+    /**
+     * Whether a server errs more than a streak by chance explains, where the others err as they do. Where all
+     * break one connection in eight, two breaks in a row come every few seconds: were those enough, one server
+     * or another would always rest, and the rest would be crowded.
+     */
+    private boolean beyondChance(Backend s) {
+        double others = -s.errors;
+        for (Backend other : servers) {
+            others += other.errors;
+        }
+        double usual = Math.min(1, Math.max(0, others / Math.max(1, servers.size() - 1)));
+        double spread = Math.sqrt(usual * (1 - usual) * ERROR_WEIGHT / (2 - ERROR_WEIGHT));
+        return s.errors > usual + BEYOND_CHANCE * spread;
+    }
+
     /**
      * Keeps the tally of failures. A connection that breaks had come up, so the server may well be alive: it
      * is demoted, but rests only once a connect to it fails too. Where a server breaks far more of them than
--- a/src/test/java/passhatch/LogicTest.java
+++ b/src/test/java/passhatch/LogicTest.java
@@ -13,6 +13,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.Set;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -220,6 +221,34 @@
             }
         }
 
+        /** Two breaks in a row come by chance, every few seconds where each server breaks one call in eight. */
+        @Test
+        void chanceAloneRestsNoServerWhereAllBreakSomeConnections() {
+            assertTrue(partWithAServerResting(1.0 / 8) < 0.03);
+        }
+
+        @Test
+        void aServerThatBreaksMostConnectionsRestsAlsoWhereTheOthersBreakSome() {
+            assertTrue(partWithAServerResting(0.9) > 0.5);
+        }
+
+        /** Where one server breaks this part of the connections and the others one in eight. */
+        private double partWithAServerResting(double breaks) {
+            Random random = new Random(11);
+            Proxy p = new Proxy(setup()).with("a", "b", "c", "d");
+            int resting = 0;
+            for (int i = 0; i < 4_000; i++) {
+                String r = p.request(Proxy.UNSAFE);
+                p.pass(20);
+                if (p.at(r) != null) {
+                    double part = "a".equals(p.at(r)) ? breaks : 1.0 / 8;
+                    p.end(r, random.nextDouble() < part ? Outcome.RESET : Outcome.OK);
+                }
+                resting += p.logic.census(p.now).avoided() > 0 ? 1 : 0;
+            }
+            return resting / 4_000.0;
+        }
+
         @Test
         void aServerThatBreaksFarMoreConnectionsThanTheOthersRests() {
             Proxy p = new Proxy(setup()).with("a", "b", "c", "d");
