--- a/src/main/java/passhatch/Logic.java
+++ b/src/main/java/passhatch/Logic.java
@@ -90,7 +90,7 @@
     private static final double CUT = 0.02;
     /** Share of errors above which a server may rest for it. */
     private static final double ERRORS = 0.35;
-    /** And so many times the spread that its share has by chance: one streak in thousands of calls passes it. */
+    /** And so many times the spread that its share has by chance: one streak in thousands passes it. */
     private static final double BEYOND_CHANCE = 4;
     /** A slow server is tried again after this long at the latest, as it may have recovered. */
     private static final double MOST_LATE_US = 24_000_000;
@@ -841,9 +841,9 @@
     }
 
     /**
-     * Whether a server errs more than a streak by chance explains, where the others err as they do. Where all
-     * break one connection in eight, two breaks in a row come every few seconds: were those enough, one server
-     * or another would always rest, and the rest would be crowded.
+     * Whether a server errs more than a streak by chance explains, where the others err as they do. Where
+     * all break one connection in eight, two breaks in a row come every few seconds: were those enough, one
+     * server or another would always rest, and the others would be crowded.
      */
     private boolean beyondChance(Backend s) {
         double others = -s.errors;
--- a/src/test/java/passhatch/LogicTest.java
+++ b/src/test/java/passhatch/LogicTest.java
@@ -221,7 +221,7 @@
             }
         }
 
-        /** Two breaks in a row come by chance, every few seconds where each server breaks one call in eight. */
+        /** Two breaks in a row come by chance, every few seconds where servers break one call in eight. */
         @Test
         void chanceAloneRestsNoServerWhereAllBreakSomeConnections() {
             assertTrue(partWithAServerResting(1.0 / 8) < 0.03);
