Read discovery's lists wherever lines break: indented ones were skipped

Possible causes before the look: the start itself too slow (ruled out: the first line of discovery is read at 0.8 s, and processor time is 3 s of 30), discovery not reached (ruled out: its answer is being read), the answer not understood.

At fault: Discovery.Watch.split, which took each line's end for an object's end. ObjectSplitter now finds objects by their brackets, at the level of bytes, so that no cut, not even within a character, matters. What stands outside an object is skipped to the end of its line as before, and an empty line stays a sign of life.

Tests: DiscoveryTest, with an indented watch, an indented whole list, and pieces of 1, 2 and 7 bytes. The first two were seen to fail without the mend.

--- a/src/main/java/passhatch/proxy/Discovery.java
+++ b/src/main/java/passhatch/proxy/Discovery.java
@@ -2,7 +2,6 @@
 
 import com.fasterxml.jackson.jr.ob.JSON;
 import io.netty.bootstrap.Bootstrap;
-import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -24,10 +23,8 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.timeout.ReadTimeoutHandler;
 import io.netty.util.concurrent.Future;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import passhatch.proxy.EventLog.Kind;
@@ -43,8 +40,8 @@
     /** An empty line comes every 2 s, so a watch silent for longer than two of these is dead. */
     private static final long SILENCE_MS = 4_500;
     private static final int CONNECT_TIMEOUT_MS = 1_000;
-    /** A line longer than this is no list of backends. */
-    private static final int LONGEST_LINE = 1 << 22;
+    /** What is longer than this is no list of backends. */
+    private static final int LONGEST_OBJECT = 1 << 22;
 
     /** Hears what discovery says. */
     interface Listener {
@@ -177,10 +174,11 @@
         pauseMs = Math.min(LONGEST_PAUSE_MS, pauseMs * 2);
     }
 
-    /** One answer of discovery: lines of JSON, or one whole list. */
-    private final class Watch extends SimpleChannelInboundHandler<HttpObject> {
+    /** One answer of discovery: objects of JSON one after the other, or one whole list. */
+    private final class Watch extends SimpleChannelInboundHandler<HttpObject>
+            implements ObjectSplitter.Listener {
         private final boolean fetch;
-        private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+        private final ObjectSplitter objects = new ObjectSplitter(LONGEST_OBJECT, this);
         private boolean ok;
         private boolean heard;
         private Channel channel;
@@ -192,7 +190,7 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) {
-            if (this != current && this != previous) {
+            if (!isHeard()) {
                 return;
             }
             if (message instanceof HttpResponse response) {
@@ -206,42 +204,48 @@
                 }
             }
             if (ok && message instanceof HttpContent content) {
-                split(content.content());
-                if (message instanceof LastHttpContent) {
-                    take();
+                if (!objects.add(content.content())) {
+                    log.line(Kind.DISCOVERY, "discovery: a list does not come to an end");
+                    ctx.close();
+                } else if (message instanceof LastHttpContent) {
+                    objects.end();
                     ctx.close();
                 }
             }
         }
 
-        private void split(ByteBuf bytes) {
-            while (bytes.isReadable()) {
-                byte b = bytes.readByte();
-                if (b == '\n') {
-                    take();
-                } else if (line.size() < LONGEST_LINE) {
-                    line.write(b);
-                }
+        private boolean isHeard() {
+            return this == current || this == previous;
+        }
+
+        /** A watch with nothing to tell says so by an empty line: the list held is up to date. */
+        @Override
+        public void emptyLine() {
+            if (!heard && !fetch && this == current) {
+                heard = true;
+                listener.listed(new EndpointList(index, false, List.of()));
             }
         }
 
-        private void take() {
-            String text = line.toString(StandardCharsets.UTF_8).strip();
-            line.reset();
-            if (text.isEmpty()) {
-                // A watch with nothing to tell says so by an empty line: the list held is up to date.
-                if (!heard && !fetch && this == current) {
-                    heard = true;
-                    listener.listed(new EndpointList(index, false, List.of()));
-                }
+        @Override
+        public void noise(String line) {
+            skipped("it is no JSON object");
+        }
+
+        private void skipped(String why) {
+            log.line(Kind.DISCOVERY, "discovery: a line is skipped: " + why);
+        }
+
+        @Override
+        public void object(String json) {
+            if (!isHeard()) {
                 return;
             }
             EndpointList list;
             try {
-                list = EndpointList.of(JSON.std.mapFrom(text), zones, models);
+                list = EndpointList.of(JSON.std.mapFrom(json), zones, models);
             } catch (IOException | IllegalArgumentException bad) {
-                log.line(Kind.DISCOVERY, "discovery: a line is skipped: "
-                        + bad.getMessage().lines().findFirst().orElse(""));
+                skipped(bad.getMessage().lines().findFirst().orElse(""));
                 return;
             }
             heard = true;
--- /dev/null
+++ b/src/test/java/passhatch/proxy/DiscoveryTest.java
@@ -0,0 +1,95 @@
+package passhatch.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Lists as discovery may send them, and watches as they may end. */
+@Timeout(60)
+final class DiscoveryTest {
+
+    @TempDir
+    Path folder;
+    private Rig rig;
+
+    @BeforeEach
+    void setUp() throws IOException {
+        rig = new Rig(folder);
+    }
+
+    @AfterEach
+    void tearDown() throws IOException {
+        rig.close();
+    }
+
+    private ScriptedServer saying(String text) throws IOException {
+        return rig.backend((connection, request) -> connection.answer("200 OK", text));
+    }
+
+    private static String up(String name, ScriptedServer backend) {
+        return Rig.entry(name, backend.address(), "SERVING");
+    }
+
+    /** The same list with each member on a line of its own, indented. */
+    private static String indented(String list) {
+        return list.replace("{", "{\n  ").replace(",", ",\n    ").replace("}", "\n}").replace("[", "[\n\t")
+                .replace("]", "\r\n  ]");
+    }
+
+    @Test
+    void aWatchMayIndentItsLists() throws Exception {
+        ScriptedServer a = saying("a");
+        rig.start(indented(up("s", a)).strip());
+        assertEquals("a", rig.call(Rig.get("r", "")).text());
+        rig.lines.add(indented(Rig.list(9, false, Rig.entry("s", a.address(), "DELETED"),
+                up("t", saying("b")))));
+        rig.lines.add(Rig.END_OF_WATCH);
+        assertTrue(rig.discovery().next().start().contains("from=7"));
+        assertTrue(rig.discovery().next().start().contains("from=9"), "all of it counts as heard");
+        assertEquals("b", rig.call(Rig.get("q", "")).text());
+    }
+
+    @Test
+    void aWholeListMayBeIndented() throws Exception {
+        rig.start(up("s", saying("a")));
+        rig.lines.add(Rig.END_OF_WATCH);
+        rig.lines.add(Rig.FORGOTTEN);
+        rig.lines.add(indented(Rig.list(40, true, up("t", saying("b")))));
+        assertTrue(rig.discovery().next().start().contains("from=7"));
+        assertTrue(rig.discovery().next().start().contains("from=8"));
+        assertEquals("GET /v1/endpoints HTTP/1.1", rig.discovery().next().start());
+        assertTrue(rig.discovery().next().start().contains("from=40"));
+        assertEquals("b", rig.call(Rig.get("q", "")).text());
+    }
+
+    /** Brackets, quotes and escapes within a text are no structure, and a read may end within a character. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 7})
+    void aListMayComeInPiecesOfAnySize(int size) throws Exception {
+        ScriptedServer backend = saying("a");
+        String odd = up("s", backend).replace("\"zone\":\"a\"", "\"zone\":\"}\\\"]\u00e9\u20ac\\\\\"");
+        byte[] bytes = (Rig.list(8, true, odd) + "\n").getBytes(StandardCharsets.UTF_8);
+        try (ScriptedServer inPieces = new ScriptedServer((connection, request) -> {
+            connection.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+            for (int at = 0; at < bytes.length; at += size) {
+                int length = Math.min(size, bytes.length - at);
+                connection.write(Integer.toHexString(length) + "\r\n");
+                connection.socket.getOutputStream().write(bytes, at, length);
+                connection.write("\r\n");
+            }
+        })) {
+            rig.startAt(inPieces.address());
+            assertEquals("a", rig.call(Rig.get("r", "")).text());
+        }
+    }
+}
--- a/src/test/java/passhatch/proxy/Rig.java
+++ b/src/test/java/passhatch/proxy/Rig.java
@@ -143,7 +143,18 @@
     /** Starts the proxy and waits until it has the list. */
     Rig start(String... entries) throws Exception {
         lines.add(list(8, true, entries));
-        proxy = ProxyServer.start(ProxyConfig.read(environment()),
+        return start(environment());
+    }
+
+    /** Starts the proxy with another discovery and waits until it has a list from there. */
+    Rig startAt(InetSocketAddress other) throws Exception {
+        Map<String, String> environment = new HashMap<>(environment());
+        environment.put("PROXY_DISCOVERY", "127.0.0.1:" + other.getPort());
+        return start(environment);
+    }
+
+    private Rig start(Map<String, String> environment) throws Exception {
+        proxy = ProxyServer.start(ProxyConfig.read(environment),
                 new EventLog(new PrintStream(log, true, StandardCharsets.UTF_8)), module);
         awaitReady(proxy.address());
         return this;
