Send no second copy of a request where the settings do not allow one

Possible causes: a repeat after a time-out whose first attempt ran on (ruled out: its connection is closed at the time-out, and an attempt counts as out only on an open one), a resend by the network code (ruled out: the pool never sends twice), the module's copy of an overdue call.

At fault: SettingsReader.read and Logic.hedge. The limit is read, and without it a call that is overdue keeps its one attempt until that ends. Absent counts as not allowed, like the other permissions.

Test: LogicTest, with both settings; the half without second copies was seen to fail before the mend.

--- a/src/main/java/passhatch/Balancer.java
+++ b/src/main/java/passhatch/Balancer.java
@@ -118,14 +118,15 @@
      * @param maxRetryAfterUs the longest advice that clients heed; 0 where they heed none
      * @param callsPerConnection calls that one connection carries at a time, at least 1
      * @param keepaliveUs how long an idle connection is kept open; 0 where none is, or it is not known
+     * @param secondCopies whether a request may have two attempts out at once
      */
     record Limits(int maxAttempts, boolean cancel, boolean probes, long maxRetryAfterUs,
-            int callsPerConnection, long keepaliveUs) {
+            int callsPerConnection, long keepaliveUs, boolean secondCopies) {
 
-        /** The limits where it is not known how long connections stay open. */
+        /** The limits where it is not known how long connections stay open, and second copies may be sent. */
         public Limits(int maxAttempts, boolean cancel, boolean probes, long maxRetryAfterUs,
                 int callsPerConnection) {
-            this(maxAttempts, cancel, probes, maxRetryAfterUs, callsPerConnection, 0);
+            this(maxAttempts, cancel, probes, maxRetryAfterUs, callsPerConnection, 0, true);
         }
     }
 
--- a/src/main/java/passhatch/Logic.java
+++ b/src/main/java/passhatch/Logic.java
@@ -1027,7 +1027,8 @@
 
     /** Sends an overdue call elsewhere too: its answer may never come, and a late one earns nothing. */
     private void hedge(long nowUs, Call call) {
-        boolean may = !call.ended && retries >= 1 && mayRepeat(nowUs, call);
+        boolean may = settings.limits().secondCopies() && !call.ended && retries >= 1
+                && mayRepeat(nowUs, call);
         Backend s = may ? pick(nowUs, call, Wanted.ANY) : null;
         if (s != null) {
             retries--;
--- a/src/main/java/passhatch/adapter/SettingsReader.java
+++ b/src/main/java/passhatch/adapter/SettingsReader.java
@@ -52,7 +52,8 @@
                 .limits(new Limits((int) limits.whole("maxAttempts"), limits.flag("cancel"),
                         limits.flag("probes"),
                         limits.flag("retryAfter") ? (long) limits.number("maxRetryAfterUs", 0) : 0,
-                        (int) limits.number("maxStreams", 1), (long) limits.number("keepaliveUs", 0)))
+                        (int) limits.number("maxStreams", 1), (long) limits.number("keepaliveUs", 0),
+                        limits.flag("mayDuplicate")))
                 .rules(new Rules(rules.whole("drainGraceUs"), ask ? rules.whole("askEveryUs") : 0,
                         rules.number("coldFrom"), rules.whole("coldUs"), rules.number("tipMultiple"),
                         rules.whole("overloadForUs"), (long) rules.number("letGoInUs", 0)))
--- a/src/test/java/passhatch/LogicTest.java
+++ b/src/test/java/passhatch/LogicTest.java
@@ -377,6 +377,29 @@
             assertEquals(1, p.count("send " + r));
         }
 
+        /** However long its first attempt is overdue; once that has ended there is no copy of it out. */
+        @Test
+        void whereSecondCopiesAreNotAllowedACallHasOneAttemptOutAtATime() {
+            for (int kind : new int[] {Proxy.SAFE, Proxy.KEYED}) {
+                Proxy.Setup setup = setup();
+                setup.aimUs = 900 * Proxy.MS;
+                setup.secondCopies = false;
+                Proxy p = new Proxy(setup).with("a", "b", "c");
+                p.serve();
+                String r = p.request(kind);
+                p.pass(500);
+                assertEquals(1, p.count("send " + r));
+                p.end(r, Outcome.ERROR);
+                assertEquals(2, p.count("send " + r));
+                setup.secondCopies = true;
+                p = new Proxy(setup).with("a", "b", "c");
+                p.serve();
+                r = p.request(kind);
+                p.pass(500);
+                assertTrue(p.count("send " + r) >= 2, "else an overdue one gets a second");
+            }
+        }
+
         @Test
         void aKeyedCallStaysInItsZoneAndWindow() {
             Proxy p = new Proxy(setup()).with("a", "b", "c", "d");
--- a/src/test/java/passhatch/Proxy.java
+++ b/src/test/java/passhatch/Proxy.java
@@ -48,6 +48,7 @@
         int callsPerConnection = 100;
         long closeWithinUs;
         long keepaliveUs;
+        boolean secondCopies = true;
 
         Settings settings() {
             List<RequestClass> classes = new ArrayList<>(List.of(
@@ -58,7 +59,7 @@
             classes.forEach(built::requestClass);
             return built.tenant(new Tenant("t", 0)).tenant(new Tenant("u", quota)).overQuotaWorth(0.2)
                     .limits(new Limits(maxAttempts, true, probes, retryAfterUs, callsPerConnection,
-                            keepaliveUs))
+                            keepaliveUs, secondCopies))
                     .rules(new Rules(500 * MS, watch ? 8_000 * MS : 0, coldFrom, 8_000 * MS, tipMultiple,
                             1_000 * MS, closeWithinUs))
                     .prices(new Prices(0.001, crossZone)).copies(copies, copy).watch(watch).build();
--- a/src/test/java/passhatch/proxy/Rig.java
+++ b/src/test/java/passhatch/proxy/Rig.java
@@ -21,8 +21,8 @@
 final class Rig implements Closeable {
 
     private final Map<String, Object> limits = new HashMap<>(Map.of("maxAttempts", 3, "cancel", true,
-            "probes", false, "retryAfter", true, "maxRetryAfterUs", 2_000_000, "maxStreams", 1,
-            "keepaliveUs", 10_000_000, "connectTimeoutUs", 8_000_000));
+            "mayDuplicate", true, "probes", false, "retryAfter", true, "maxRetryAfterUs", 2_000_000,
+            "maxStreams", 1, "keepaliveUs", 10_000_000, "connectTimeoutUs", 8_000_000));
     private final List<Closeable> open = new ArrayList<>();
     final BlockingQueue<String> lines = new LinkedBlockingQueue<>();
     final ByteArrayOutputStream log = new ByteArrayOutputStream();
