Read a client's connection on while its requests wait, and so see that it left

New term: a request whose client left while it waited is not sent on.

Suspected: the module sends on although told (ruled out: clientGone ends a call for good), the check before the write (ruled out: it asks whether the request is answered, which a client's end makes it), or the end is not seen. It was not seen wherever reading was paused: behind a request with Connection: close, behind four that were open, behind what could not be taken, while more of an upload had come than is held. And one that lay unread behind its client's end was sent on at once, as each read ended with the first bytes.

At fault: ClientConnection.paceReading, which paused reading for whatever reason nothing was to be handled, and the read loop of one read a turn. The pause and Netty's flow control are gone. What comes is held, up to 256 KiB a connection and within the budget for bodies, and handled in a later step, when all that had come is read, the end included. Past that bound the end cannot be seen: after 0.2 s of it no request of that connection is taken or sent, and its client is told so by a 503. An upload under way is left out of that: it may be larger than what is held, and one that is not whole does not run. The time that a request waits behind others is now taken off its deadline.

--- a/src/main/java/passhatch/proxy/ClientConnection.java
+++ b/src/main/java/passhatch/proxy/ClientConnection.java
@@ -19,8 +19,8 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.handler.flow.FlowControlHandler;
 import io.netty.handler.timeout.WriteTimeoutHandler;
+import io.netty.util.ReferenceCountUtil;
 import java.util.ArrayDeque;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -36,6 +36,8 @@
     private static final long MOST_REST_MS = 2_000;
     /** A client that takes nothing of an answer for so long is gone. */
     private static final int WRITE_TIMEOUT_S = 10;
+    /** A connection of which not all is read may have ended; after so long its requests are not sent on. */
+    private static final long MOST_BLIND_US = 200_000;
 
     /** A request on a connection, until its answer is written. */
     private static final class Turn implements ProxyLoop.Responder, RequestBody.Source, AnswerStream.Owner {
@@ -86,9 +88,15 @@
             connection.close();
         }
 
+        /** A body that is on its way must not wait until its client has sent all of it. */
+        @Override
+        public boolean isPresent() {
+            return this == connection.arriving || !connection.isBlind();
+        }
+
         @Override
         public void readOn() {
-            connection.readOn();
+            connection.handleOn();
         }
 
         @Override
@@ -117,6 +125,7 @@
     private final Channel channel;
     private final RequestDecoder decoder = new RequestDecoder();
     private final RequestReader reader;
+    private final ReadAhead ahead;
     private final ArrayDeque<Turn> turns = new ArrayDeque<>();
     private final ArrivalPace pace = new ArrivalPace();
     /** The turn of a request that was taken while it still came in; null where none is. */
@@ -126,33 +135,37 @@
     private long partSinceUs;
     /** When the last answer was written. */
     private long answeredUs;
-    /** Requests handled in this step of the loop. */
-    private int inStep;
-    private boolean readsOn;
-    /** Nothing more is read: the connection ends with the answers to what is open. */
+    /** What has come in is handled in a later step of the loop. */
+    private boolean handlesOn;
+    /** Since when not all is read that the client may have sent; 0 where all is. */
+    private long blindSinceUs;
+    /** Nothing more is taken: the connection ends with the answers to what is open. */
     private boolean noMore;
     /** The connection ends with the request that is coming in, of which nothing is wanted any more. */
     private boolean endsWithRequest;
     private boolean writing;
     /** What came last could not be taken; there may be more of it, unread. */
     private boolean turnedDown;
+    /** Its last answer is written. */
+    private boolean ended;
 
     ClientConnection(ClientServer server, Channel channel, long nowUs) {
         this.server = server;
         this.channel = channel;
         this.reader = new RequestReader(server.budget());
+        this.ahead = new ReadAhead(server.budget());
         this.connectedUs = nowUs;
     }
 
     /** What stands between the socket and this. */
     ChannelHandler[] handlers() {
         return new ChannelHandler[] {new WriteTimeoutHandler(WRITE_TIMEOUT_S), decoder,
-            new HttpResponseEncoder(), new FlowControlHandler(), this};
+            new HttpResponseEncoder(), this};
     }
 
     /** Whether it may be closed for another: no request is open and none has begun to come in. */
     boolean isIdle() {
-        return turns.isEmpty() && partSinceUs == 0 && !noMore && !hasUnsent();
+        return turns.isEmpty() && ahead.isEmpty() && partSinceUs == 0 && !noMore && !hasUnsent();
     }
 
     /** Whether some of an answer has not been handed to the network yet: closed now, it would be cut off. */
@@ -177,7 +190,7 @@
     void endIfStalled(long nowUs, long mostUnaskedUs, long mostIdleUs) {
         if (partSinceUs > 0) {
             long sinceUs = hasAsked() || !turns.isEmpty() && arriving == null ? partSinceUs : connectedUs;
-            if (reader.isFull()) {
+            if (reader.isFull() || !ahead.isEmpty()) {
                 pace.hold(nowUs);
             }
             if (pace.isOver(nowUs, sinceUs)) {
@@ -199,15 +212,104 @@
         ctx.fireChannelActive();
     }
 
+    /**
+     * Holds what has come in until all is read that has: a client that sent a request and left must not have
+     * it sent on.
+     */
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, HttpObject part) {
         if (part instanceof HttpRequest) {
             decoder.arrived();
         }
         if (noMore) {
-            if (endsWithRequest && part instanceof LastHttpContent) {
-                close();
+            passOver(part);
+            return;
+        }
+        ahead.add(part, server.nowUs());
+        if (ahead.isFull()) {
+            channel.config().setAutoRead(false);
+            blindSinceUs = blindSinceUs == 0 ? server.nowUs() : blindSinceUs;
+        }
+    }
+
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) {
+        if (!ahead.isFull()) {
+            blindSinceUs = 0;
+        }
+        noteArrival();
+        handleOn();
+        ctx.fireChannelReadComplete();
+    }
+
+    private boolean isBlind() {
+        return blindSinceUs > 0 && server.nowUs() - blindSinceUs > MOST_BLIND_US;
+    }
+
+    /** The rest of what came behind the last request is read, so that the client's end is seen. */
+    private void passOver(HttpObject part) {
+        if (endsWithRequest && part instanceof LastHttpContent) {
+            close();
+        }
+    }
+
+    /** Handles what has come in, in a later step: within this one it would go ever deeper. */
+    private void handleOn() {
+        if (!handlesOn) {
+            handlesOn = true;
+            channel.eventLoop().execute(() -> {
+                handlesOn = false;
+                handleSome();
+            });
+        }
+    }
+
+    /**
+     * Guards the loop and the memory against a connection that sends on and on: no more than a few requests
+     * are open or are handled in one step of the loop, and none is taken while answers are not.
+     */
+    private void handleSome() {
+        int whole = 0;
+        while (whole < MOST_PIPELINED && mayHandle() && !ahead.isEmpty()) {
+            ReadAhead.Part next = ahead.poll();
+            try {
+                whole += next.part() instanceof LastHttpContent ? 1 : 0;
+                handle(next.part(), next.atUs());
+            } finally {
+                ReferenceCountUtil.release(next.part());
             }
+        }
+        if (mayHandle() && !ahead.isEmpty()) {
+            handleOn();
+        }
+        noteArrival();
+        if (!ahead.isFull() && channel.isOpen() && !ended) {
+            channel.config().setAutoRead(true);
+        }
+    }
+
+    private boolean mayHandle() {
+        return !noMore && turns.size() < MOST_PIPELINED + (arriving == null ? 0 : 1)
+                && channel.isWritable() && !reader.isFull();
+    }
+
+    /** Takes no more: what is held, and all that still comes, is passed over. */
+    private void takeNoMore() {
+        noMore = true;
+        while (!ahead.isEmpty()) {
+            HttpObject part = ahead.poll().part();
+            passOver(part);
+            ReferenceCountUtil.release(part);
+        }
+        if (channel.isOpen() && !ended) {
+            channel.config().setAutoRead(true);
+        }
+    }
+
+    private void handle(HttpObject part, long atUs) {
+        if (part instanceof HttpRequest && isBlind()) {
+            server.say("more requests came at once than are read; their client may have left");
+            turnDown(HttpResponseStatus.SERVICE_UNAVAILABLE);
             return;
         }
         RequestReader.Incoming incoming;
@@ -230,32 +332,33 @@
         }
         if (incoming.body().isWhole()) {
             partSinceUs = 0;
-            inStep++;
             if (arriving == null) {
-                begin(incoming);
+                begin(incoming, server.nowUs() - atUs);
             } else {
                 Turn whole = arriving;
                 arriving = null;
-                noMore = !whole.keepAlive;
+                if (!whole.keepAlive) {
+                    takeNoMore();
+                }
                 server.proxy().whole(whole.id);
             }
         } else if (arriving == null && incoming.body().isLong()) {
-            begin(incoming);
+            begin(incoming, 0);
         }
-        paceReading();
     }
 
     /** Takes a request that is whole, or too long to wait until it is. */
-    private void begin(RequestReader.Incoming incoming) {
+    private void begin(RequestReader.Incoming incoming, long waitedUs) {
         boolean whole = incoming.body().isWhole();
         Turn turn = new Turn(this, incoming.head(), incoming.body(), HttpUtil.isKeepAlive(incoming.head()));
         turns.add(turn);
         incoming.body().source(turn);
         arriving = whole ? null : turn;
-        noMore = whole && !turn.keepAlive;
-        paceReading();
+        if (whole && !turn.keepAlive) {
+            takeNoMore();
+        }
         try {
-            take(turn, incoming);
+            take(turn, incoming, waitedUs);
         } catch (RequestParser.BadRequest bad) {
             server.say("request refused with " + bad.status() + ": " + bad.getMessage());
             if (whole) {
@@ -266,13 +369,14 @@
         }
     }
 
-    private void take(Turn turn, RequestReader.Incoming incoming) throws RequestParser.BadRequest {
+    private void take(Turn turn, RequestReader.Incoming incoming, long waitedUs)
+            throws RequestParser.BadRequest {
         if (incoming.head().method().equals(HttpMethod.GET) && incoming.head().uri().equals("/ready")) {
             turn.answer(Answer.of(server.isReady() ? HttpResponseStatus.OK
                     : HttpResponseStatus.SERVICE_UNAVAILABLE));
             return;
         }
-        ProxyRequest request = server.parse(incoming);
+        ProxyRequest request = server.parse(incoming, waitedUs);
         turn.id = request.id();
         if (!server.proxy().take(request, turn)) {
             // It is another's: nothing that becomes of this connection may touch it.
@@ -283,64 +387,28 @@
     }
 
     /** Notes when a request began to come in that is not whole yet. */
-    @Override
-    public void channelReadComplete(ChannelHandlerContext ctx) {
+    private void noteArrival() {
         if (noMore || !reader.holdsPart() && !decoder.holdsMore()) {
             partSinceUs = 0;
         } else if (partSinceUs == 0) {
             partSinceUs = server.nowUs();
         }
-        ctx.fireChannelReadComplete();
-    }
-
-    /**
-     * Guards the loop and the memory against a connection that sends on and on: no more than a few requests
-     * are open or are handled in one step of the loop, and none is read while answers are not taken.
-     */
-    private void paceReading() {
-        if (!mayRead() || inStep >= MOST_PIPELINED) {
-            channel.config().setAutoRead(false);
-        }
-        if (inStep >= MOST_PIPELINED) {
-            readOn();
-        }
-    }
-
-    private boolean mayRead() {
-        return endsWithRequest || !noMore && turns.size() < MOST_PIPELINED + (arriving == null ? 0 : 1)
-                && channel.isWritable() && !reader.isFull();
-    }
-
-    /** Reads on in a later step: within this one it would go ever deeper through what is read already. */
-    private void readOn() {
-        if (!readsOn && !channel.config().isAutoRead()) {
-            readsOn = true;
-            channel.eventLoop().execute(() -> {
-                readsOn = false;
-                inStep = 0;
-                if (mayRead()) {
-                    channel.config().setAutoRead(true);
-                }
-            });
-        }
     }
 
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext ctx) {
-        paceReading();
-        readOn();
+        handleOn();
         Turn first = turns.peek();
         if (first != null && first.stream != null) {
             first.stream.writable();
         }
     }
 
-    /** Answers what cannot be taken, after what came before it, and reads no further byte. */
+    /** Answers what cannot be taken, after what came before it, and takes nothing behind it. */
     private void turnDown(HttpResponseStatus status) {
-        noMore = true;
         turnedDown = true;
+        takeNoMore();
         partSinceUs = 0;
-        paceReading();
         Turn turn = arriving;
         arriving = null;
         if (turn == null) {
@@ -388,7 +456,7 @@
             }
         }
         writing = false;
-        readOn();
+        handleOn();
     }
 
     /** Only the last of the requests that are open may end the connection; one that is not all in must. */
@@ -417,16 +485,17 @@
 
     /** Lets the answer arrive and then closes the connection, on which nothing more is read. */
     private void end(ChannelFuture written) {
-        noMore = true;
         if (arriving != null) {
             // The rest of its request is read and let go: a reset could overtake the answer.
             arriving = null;
             endsWithRequest = true;
             partSinceUs = 0;
             channel.eventLoop().schedule(this::close, MOST_REST_MS, TimeUnit.MILLISECONDS);
-            readOn();
+            takeNoMore();
             return;
         }
+        takeNoMore();
+        ended = true;
         channel.config().setAutoRead(false);
         written.addListener(done -> {
             if (turnedDown && done.isSuccess() && channel.isActive()) {
@@ -450,19 +519,21 @@
             }
         }
         reader.drop();
+        ahead.drop();
         partSinceUs = 0;
     }
 
     /** A client that ends its sending has gone; one that reads on is told that it gets nothing. */
     @Override
     public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
-        if (event instanceof ChannelInputShutdownEvent && !turnedDown) {
+        if (event instanceof ChannelInputShutdownEvent && !(turnedDown && turns.isEmpty())) {
             fail();
         }
     }
 
     private void fail() {
-        boolean owed = !turns.isEmpty() && (turns.peek().stream == null || !turns.peek().stream.isBegun());
+        boolean owed = turns.isEmpty() ? !ahead.isEmpty()
+                : turns.peek().stream == null || !turns.peek().stream.isBegun();
         noMore = true;
         abandon();
         if (owed) {
--- a/src/main/java/passhatch/proxy/ClientServer.java
+++ b/src/main/java/passhatch/proxy/ClientServer.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioChannelOption;
 import java.net.InetSocketAddress;
@@ -20,6 +21,7 @@
 final class ClientServer {
 
     private static final int BACKLOG = 1024;
+    private static final int READS_IN_A_ROW = 16;
     /** How often connections are looked through for those that stall. */
     private static final long SWEEP_US = 100_000;
     /** A connection on which nothing is asked at all is closed after this long. */
@@ -83,8 +85,7 @@
                 .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, BackendPool.WRITE_MARKS)
-                .childOption(ChannelOption.RECVBUF_ALLOCATOR,
-                        new AdaptiveRecvByteBufAllocator(64, 2048, BackendPool.MOST_READ))
+                .childOption(ChannelOption.RECVBUF_ALLOCATOR, readsToTheEnd())
                 .childOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
@@ -103,6 +104,12 @@
         });
     }
 
+    /** Reads on until nothing is left: behind a request there may be its client's end. */
+    private static RecvByteBufAllocator readsToTheEnd() {
+        return new AdaptiveRecvByteBufAllocator(64, 2048, BackendPool.MOST_READ)
+                .respectMaybeMoreData(false).maxMessagesPerRead(READS_IN_A_ROW);
+    }
+
     /** Whether clients can connect. */
     boolean isListening() {
         return listener != null && listener.isActive();
@@ -236,8 +243,9 @@
         return proxy;
     }
 
-    ProxyRequest parse(RequestReader.Incoming incoming) throws RequestParser.BadRequest {
-        return parser.parse(incoming, incoming.body().isWhole() ? unreadUs() : 0);
+    /** Reads a request that has waited so long behind others of its connection. */
+    ProxyRequest parse(RequestReader.Incoming incoming, long waitedUs) throws RequestParser.BadRequest {
+        return parser.parse(incoming, incoming.body().isWhole() ? Math.max(waitedUs, unreadUs()) : 0);
     }
 
     boolean isReady() {
--- a/src/main/java/passhatch/proxy/ProxyLoop.java
+++ b/src/main/java/passhatch/proxy/ProxyLoop.java
@@ -65,6 +65,9 @@
          * @param readOn called when more may be given after the sink was not writable
          */
         AnswerSink stream(long length, Runnable readOn);
+
+        /** Whether the client is seen to be there; where it may have left unseen it is not. */
+        boolean isPresent();
     }
 
     /** A backend at its address, from when it is listed until it is gone and nothing is out there. */
@@ -436,7 +439,8 @@
         // Guards against a connection that comes up late: one to a backend that was told to drain, or that
         // has gone or was taken out, in the meantime is sent nothing.
         attempt.handle = sendTo(backend, new Outgoing(() -> message(e.request, untilUs), e.request.body(),
-                () -> !e.answered && e.stream == null && mayGet(backend) && e.request.body().canBeSent(),
+                () -> !e.answered && e.stream == null && e.responder.isPresent() && mayGet(backend)
+                        && e.request.body().canBeSent(),
                 figures::dispatched, e.arriving ? BackendPool.NO_TIMEOUT : waitUs, Outcome.TIMEOUT),
                 new BackendPool.Listener() {
                     @Override
--- a/src/main/java/passhatch/proxy/ProxyServer.java
+++ b/src/main/java/passhatch/proxy/ProxyServer.java
@@ -9,9 +9,11 @@
 import java.io.PrintStream;
 import java.net.InetSocketAddress;
 import java.util.Map;
+import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.Future;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -331,6 +333,11 @@
         }
     }
 
+    /** Does something in a later step of the loop, which stands still meanwhile. */
+    Future<?> inLoop(Callable<?> what) {
+        return loop.submit(what);
+    }
+
     /** Waits until it has shut down. */
     boolean awaitEnd(long ms) throws InterruptedException {
         return ended.await(ms, TimeUnit.MILLISECONDS);
--- a/src/test/java/passhatch/proxy/ProxyServerTest.java
+++ b/src/test/java/passhatch/proxy/ProxyServerTest.java
@@ -8,7 +8,6 @@
 import com.fasterxml.jackson.jr.ob.JSON;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.lang.reflect.Proxy;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.List;
@@ -18,7 +17,6 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
-import java.util.function.BiConsumer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -176,7 +174,7 @@
     void figuresOfClientsAreHeldToWhatCanBe(String deadline, String hint, long mostLeftUs, long workUs)
             throws Exception {
         BlockingQueue<Balancer.Request> taken = new LinkedBlockingQueue<>();
-        rig.module((settings, seed, actions) -> module((method, args) -> {
+        rig.module((settings, seed, actions) -> ScriptedModule.of((method, args) -> {
             if (args[args.length - 1] instanceof Balancer.Request r) {
                 taken.add(r);
                 actions.refuse(r.id(), 0);
@@ -198,7 +196,7 @@
     @Test
     void whatIsSentToABackendThatIsGoneEndsAtOnce() throws Exception {
         BlockingQueue<Outcome> outcomes = new LinkedBlockingQueue<>();
-        rig.module((settings, seed, actions) -> module((method, args) -> {
+        rig.module((settings, seed, actions) -> ScriptedModule.of((method, args) -> {
             if (method.equals("request")) {
                 actions.send(((Balancer.Request) args[1]).id(), "gone", 0);
             } else if (method.equals("outcome")) {
@@ -261,7 +259,7 @@
     @Test
     void answersItselfJustInTimeWhereTheModuleDoesNot() throws Exception {
         ScriptedServer backend = rig.backend(ScriptedServer.SILENT);
-        rig.module((settings, seed, actions) -> module((method, args) -> {
+        rig.module((settings, seed, actions) -> ScriptedModule.of((method, args) -> {
             if (args[args.length - 1] instanceof Balancer.Request r && r.id().equals("sent")) {
                 actions.send(r.id(), "s", 0);
             }
@@ -272,22 +270,13 @@
         assertEquals(503, rig.call(Rig.post("/move/held", "held", "X-Deadline: 300m\r\n")).status());
     }
 
-    /** A decision module of the test's own. */
-    private static Balancer module(BiConsumer<String, Object[]> told) {
-        return (Balancer) Proxy.newProxyInstance(Balancer.class.getClassLoader(),
-                new Class<?>[] {Balancer.class}, (self, method, args) -> {
-                    told.accept(method.getName(), args);
-                    return method.getReturnType() == boolean.class ? false : null;
-                });
-    }
-
     /** A request's time runs on while the loop is held up and reads nothing. */
     @Test
     void theTimeThatARequestStoodUnreadIsTakenOff() throws Exception {
         ScriptedServer backend = rig.backend(ScriptedServer.SILENT);
         CountDownLatch heldUp = new CountDownLatch(1);
         BlockingQueue<Long> left = new LinkedBlockingQueue<>();
-        rig.module((settings, seed, actions) -> module((method, args) -> {
+        rig.module((settings, seed, actions) -> ScriptedModule.of((method, args) -> {
             if (args[args.length - 1] instanceof Balancer.Request r) {
                 if (r.id().equals("first")) {
                     heldUp.countDown();
@@ -404,7 +393,7 @@
         EndpointList drains = EndpointList.of(JSON.std.mapFrom(Rig.list(9, false,
                 Rig.entry("s", backend.address(), "DRAINING"))), List.of("a"), List.of("m"));
         BlockingQueue<Outcome> outcomes = new LinkedBlockingQueue<>();
-        rig.module((settings, seed, actions) -> module((method, args) -> {
+        rig.module((settings, seed, actions) -> ScriptedModule.of((method, args) -> {
             if (method.equals("request")) {
                 actions.send(((Balancer.Request) args[1]).id(), "s", 0);
                 ((Discovery.Listener) actions).listed(drains);
--- /dev/null
+++ b/src/test/java/passhatch/proxy/ScriptedModule.java
@@ -0,0 +1,20 @@
+package passhatch.proxy;
+
+import java.lang.reflect.Proxy;
+import java.util.function.BiConsumer;
+import passhatch.Balancer;
+
+/** A decision module of a test's own. */
+final class ScriptedModule {
+
+    private ScriptedModule() { }
+
+    /** A module that does with each event, by its name and arguments, what the test says. */
+    static Balancer of(BiConsumer<String, Object[]> told) {
+        return (Balancer) Proxy.newProxyInstance(Balancer.class.getClassLoader(),
+                new Class<?>[] {Balancer.class}, (self, method, args) -> {
+                    told.accept(method.getName(), args);
+                    return method.getReturnType() == boolean.class ? false : null;
+                });
+    }
+}
