End a process in the time its deadlines leave, with its queue and half-read requests served

What was looked for: which requests SIGKILL can find open. It comes the longest deadline and 0.7 s after SIGTERM, and each step of the end was fixed at 0.5 and 2.0 s. Three causes in ProxyServer.shutDown: - With a longest deadline of 1.3 s or less, 2.0 s, when clients are sent away, lies after the kill: clients that go on sending have a request open at any moment. The steps are now taken from the deadline (Ending). - At 0.5 s the listener was closed with what stood in its accept queue, which the system resets. Every end of listening now goes the way of the upgrade's, which empties the queue; the other way is gone. - With nothing unanswered the process ended although a request was half in. It is now waited for, but not past the moment at which all is answered.

Tests: EndingTest. Its cases for deadlines of 200 to 1500 ms, the accept queue (20 connections made while the loop stands still) and both half-read requests were seen to fail without the mends; a second SIGTERM was sound.

--- a/src/main/java/passhatch/proxy/ClientServer.java
+++ b/src/main/java/passhatch/proxy/ClientServer.java
@@ -115,26 +115,24 @@
         return listener != null && listener.isActive();
     }
 
-    /** Leaves new connections to another process that listens at the same address. */
-    void handOff() {
-        if (listener != null) {
-            listener.handOff();
-        }
-    }
-
     /** Holds to another number of connections from now on. */
     void mostOpen(int most) {
         mostOpen = most;
         makeRoom();
     }
 
-    /** Takes no more connections; those open are served on. */
+    /** Takes no more connections; those open, and those that have connected by now, are served on. */
     void stopListening() {
         if (listener != null) {
-            listener.close();
+            listener.emptyAndClose();
         }
     }
 
+    /** Whether a request is open or half in. */
+    boolean hasOpen() {
+        return connections.stream().anyMatch(c -> !c.isIdle());
+    }
+
     /** Whether some of an answer has not been handed to the network yet. */
     boolean hasUnsent() {
         return connections.stream().anyMatch(ClientConnection::hasUnsent);
--- a/src/main/java/passhatch/proxy/ProxyServer.java
+++ b/src/main/java/passhatch/proxy/ProxyServer.java
@@ -26,19 +26,8 @@
 /** One real proxy, from its start to its end. */
 public final class ProxyServer {
 
-    /** New connections go on coming for up to 0.4 s after SIGTERM. */
-    private static final long ACCEPT_ON_MS = 500;
-    /**
-     * Then requests on open connections are taken for this much longer: while proxies restart in turn, their
-     * clients may have nowhere else to go. After that idle connections are closed.
-     */
-    private static final long READ_ON_MS = 1_500;
-    /** SIGKILL comes no sooner than the longest deadline, or this, and 0.7 s more after SIGTERM. */
-    private static final long MOST_DEADLINE_MS = 3_000;
     private static final long SWEEP_MS = 250;
     private static final long SENT_CHECK_MS = 10;
-    /** After that deadline what is left is answered within this time, so that SIGKILL finds nothing. */
-    private static final long END_SLACK_MS = 400;
     /**
      * Descriptors for the JVM's own files, the selector, the listener, discovery, and connections that are
      * closed but not yet let go of by the selector.
@@ -66,6 +55,8 @@
     private BackendPool pool;
     private Handover handover;
     private int ownDescriptors;
+    /** The process is about to be killed. */
+    private boolean answeredAll;
     /** What the process ends with. */
     private volatile int status;
     private volatile InetSocketAddress address;
@@ -304,35 +295,43 @@
             log.line("shutting down");
             drain.end();
             boolean succeeded = handover != null && handover.hasSuccessor();
+            Ending ending = Ending.of(longestDeadlineMs, succeeded);
             if (succeeded) {
                 log.line("handover: another process serves; what it can take is left to it");
                 handover.serving(false);
                 drain.sendAway();
-                clients.handOff();
-            } else {
-                loop.schedule(clients::stopListening, ACCEPT_ON_MS, TimeUnit.MILLISECONDS);
             }
+            loop.schedule(clients::stopListening, ending.acceptUntilMs(), TimeUnit.MILLISECONDS);
             loop.schedule(() -> {
                 drain.letGo();
-                clients.closeIdle();
-                proxy.whenIdle(this::endOnceSent);
-            }, (succeeded ? 0 : ACCEPT_ON_MS) + READ_ON_MS, TimeUnit.MILLISECONDS);
+                proxy.whenIdle(this::endOnceDone);
+            }, ending.takeUntilMs(), TimeUnit.MILLISECONDS);
             loop.schedule(() -> {
                 proxy.answerAll();
-                proxy.whenIdle(this::endOnceSent);
-            }, Math.min(longestDeadlineMs, MOST_DEADLINE_MS) + END_SLACK_MS, TimeUnit.MILLISECONDS);
+                answeredAll = true;
+                proxy.whenIdle(this::endOnceDone);
+            }, ending.answerAtMs(), TimeUnit.MILLISECONDS);
         });
     }
 
-    /** Ends once the network has taken all answers; a slow client may take its time over a long one. */
-    private void endOnceSent() {
-        if (clients.hasUnsent()) {
-            loop.schedule(this::endOnceSent, SENT_CHECK_MS, TimeUnit.MILLISECONDS);
+    /**
+     * Ends once nothing is open: the network has taken all answers, where a slow client may take its time
+     * over a long one, and no request is half in. At the last, one that is half in is not waited for.
+     */
+    private void endOnceDone() {
+        clients.closeIdle();
+        if (clients.hasUnsent() || !answeredAll && clients.hasOpen()) {
+            loop.schedule(this::endOnceDone, SENT_CHECK_MS, TimeUnit.MILLISECONDS);
         } else {
             end();
         }
     }
 
+    /** Takes no more connections, as at the end. */
+    void stopListening() {
+        clients.stopListening();
+    }
+
     /** Does something in a later step of the loop, which stands still meanwhile. */
     Future<?> inLoop(Callable<?> what) {
         return loop.submit(what);
--- a/src/main/java/passhatch/proxy/SharedListener.java
+++ b/src/main/java/passhatch/proxy/SharedListener.java
@@ -6,22 +6,25 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * A listener whose address another process listens on too. What stands in its accept queue when it is closed
- * would be reset, so it is emptied and closed in one step.
+ * A listener, whose address another process may listen on too. What stands in its accept queue when it is
+ * closed would be reset, so it is emptied and closed in one step.
  */
 final class SharedListener extends NioServerSocketChannel {
 
     /** Stops listening, after taking all that has connected here. */
-    void handOff() {
+    void emptyAndClose() {
         config().setAutoRead(false);
         // While it is registered with the selector, a closed listener goes on queueing connections until the
         // next select.
-        deregister().addListener(done -> emptyAndClose());
+        deregister().addListener(done -> emptyOnceLetGo());
     }
 
-    private void emptyAndClose() {
+    private void emptyOnceLetGo() {
+        if (!isOpen()) {
+            return;
+        }
         if (javaChannel().isRegistered()) {
-            eventLoop().schedule(this::emptyAndClose, 1, TimeUnit.MILLISECONDS);
+            eventLoop().schedule(this::emptyOnceLetGo, 1, TimeUnit.MILLISECONDS);
             return;
         }
         List<Object> taken = new ArrayList<>();
