Ask the module once more before a late connection is written to

Looked for: what may have passed between the module's send and the write. The check before the write knew of an answer, a drain and a ban, and of no time. Time-outs do not cover it: after a stall the loop sees the connection come up before the timers that are due. So a request could be written past its deadline, and a keyed repeat past the window in which its first attempt would have it dropped, which is a duplicate.

At fault: the check in ProxyLoop.send. It now asks the module (maySend), which knows deadline, effect and window and decided on the send by the same rule; bans, so far asked for alone, are part of its answer.

Tests: LateConnectionsTest, on loopback and a clock that the test moves: past the deadline, past the window and within it. The first two were seen to fail without the mend.

--- a/src/main/java/passhatch/Balancer.java
+++ b/src/main/java/passhatch/Balancer.java
@@ -317,6 +317,12 @@
     /** Whether the server is taken out by hand. */
     boolean isOut(String server);
 
+    /**
+     * Whether an attempt may still be written, to be asked just before it is: its connection may have come up
+     * late. Changes nothing.
+     */
+    boolean maySend(long nowUs, String request, int attempt);
+
     /** How many servers there are. */
     Census census(long nowUs);
 
--- a/src/main/java/passhatch/Logic.java
+++ b/src/main/java/passhatch/Logic.java
@@ -741,13 +741,33 @@
             return false;
         }
         Attempt mayHaveRun = call.mayHaveRun();
-        return mayHaveRun == null || switch (call.kind.effect()) {
+        return mayHaveRun == null || mayFollow(nowUs, call, mayHaveRun);
+    }
+
+    /** Whether another attempt may be written after one that may have run. */
+    private static boolean mayFollow(long nowUs, Call call, Attempt mayHaveRun) {
+        return switch (call.kind.effect()) {
             case SAFE -> true;
             case KEYED -> nowUs - mayHaveRun.sentAtUs < call.kind.dedupWindowUs();
             case UNSAFE -> false;
         };
     }
 
+    @Override
+    public boolean maySend(long nowUs, String id, int number) {
+        Call call = calls.get(id);
+        if (call == null || call.ended || !call.arriving && nowUs >= call.deadlineUs) {
+            return false;
+        }
+        Attempt attempt = call.attempts.get(number);
+        for (Attempt other : call.attempts) {
+            if (other != attempt && !other.provedNotRun && !mayFollow(nowUs, call, other)) {
+                return false;
+            }
+        }
+        return !attempt.server.out;
+    }
+
     @Override
     public void outcome(long nowUs, String id, int number, String server, Outcome outcome, long elapsedUs,
             boolean ended, LoadReport report) {
--- a/src/main/java/passhatch/proxy/Clock.java
+++ b/src/main/java/passhatch/proxy/Clock.java
@@ -1,6 +1,7 @@
 package passhatch.proxy;
 
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 
 /**
  * The module's clock: microseconds that start at the Unix time of this process's start and then follow the
@@ -10,10 +11,21 @@
 final class Clock {
 
     private final long originUs = TimeUnit.MILLISECONDS.toMicros(System.currentTimeMillis());
-    private final long originNs = System.nanoTime();
+    private final LongSupplier nanos;
+    private final long originNs;
+
+    Clock() {
+        this(System::nanoTime);
+    }
+
+    /** A clock that follows the nanoseconds given. */
+    Clock(LongSupplier nanos) {
+        this.nanos = nanos;
+        this.originNs = nanos.getAsLong();
+    }
 
     long nowUs() {
-        return originUs + (System.nanoTime() - originNs) / 1000;
+        return originUs + (nanos.getAsLong() - originNs) / 1000;
     }
 
     /** A Unix time in milliseconds on this clock; 0, which stands for long ago, stays 0. */
--- a/src/main/java/passhatch/proxy/ProxyLoop.java
+++ b/src/main/java/passhatch/proxy/ProxyLoop.java
@@ -437,10 +437,11 @@
         }
         long untilUs = now + waitUs;
         // Guards against a connection that comes up late: one to a backend that was told to drain, or that
-        // has gone or was taken out, in the meantime is sent nothing.
+        // has gone or was taken out, in the meantime is sent nothing, and neither is what is over by then.
         attempt.handle = sendTo(backend, new Outgoing(() -> message(e.request, untilUs), e.request.body(),
-                () -> !e.answered && e.stream == null && e.responder.isPresent() && mayGet(backend)
-                        && e.request.body().canBeSent(),
+                () -> !e.answered && e.stream == null && e.responder.isPresent() && backend.up
+                        && e.request.body().canBeSent()
+                        && balancer.maySend(clock.nowUs(), id, attempt.number),
                 figures::dispatched, e.arriving ? BackendPool.NO_TIMEOUT : waitUs, Outcome.TIMEOUT),
                 new BackendPool.Listener() {
                     @Override
--- a/src/main/java/passhatch/proxy/ProxyServer.java
+++ b/src/main/java/passhatch/proxy/ProxyServer.java
@@ -109,8 +109,14 @@
     /** Starts a proxy and returns once it listens. */
     static ProxyServer start(ProxyConfig config, EventLog log, Module module)
             throws ProxyConfig.BadConfig, InterruptedException, ExecutionException {
+        return start(config, log, module, new Clock());
+    }
+
+    /** Starts one that goes by the clock. */
+    static ProxyServer start(ProxyConfig config, EventLog log, Module module, Clock clock)
+            throws ProxyConfig.BadConfig, InterruptedException, ExecutionException {
         ProxyServer server = new ProxyServer(config, log);
-        server.loop.submit(() -> server.build(config, module)).sync();
+        server.loop.submit(() -> server.build(config, module, clock)).sync();
         if (config.console() == null || !server.loop.submit(server.handover::hasPeer).get()) {
             ChannelFuture listening = server.clients.listen(config.listen(), config.console() != null)
                     .await();
@@ -151,8 +157,7 @@
         });
     }
 
-    private void build(ProxyConfig config, Module module) {
-        Clock clock = new Clock();
+    private void build(ProxyConfig config, Module module, Clock clock) {
         ownDescriptors = OWN_DESCRIPTORS + (config.console() == null ? 0 : Console.MOST_OPEN + 1);
         int forCallers = forCallers(config.sockets());
         pool = new BackendPool(loop, clock, log, config.connectTimeoutUs(),
--- /dev/null
+++ b/src/test/java/passhatch/proxy/LateConnectionsTest.java
@@ -0,0 +1,106 @@
+package passhatch.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+
+import java.io.IOException;
+import java.lang.reflect.InvocationTargetException;
+import java.lang.reflect.Proxy;
+import java.nio.file.Path;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import passhatch.Balancer.Actions;
+import passhatch.Logic;
+
+/**
+ * A connection that comes up when its request is over. The loop stands still from the step in which it begins
+ * to connect, so that the next turn finds the connection up and the time passed.
+ */
+@Timeout(60)
+final class LateConnectionsTest {
+
+    @TempDir
+    Path folder;
+    private Rig rig;
+    private final AtomicInteger sends = new AtomicInteger();
+    private final CountDownLatch connecting = new CountDownLatch(1);
+    private final CountDownLatch goOn = new CountDownLatch(1);
+    private ScriptedServer first;
+    private ScriptedServer second;
+    private final AtomicInteger arrived = new AtomicInteger();
+
+    @BeforeEach
+    void setUp() throws IOException {
+        rig = new Rig(folder);
+        first = rig.backend(this::breakTheFirst);
+        second = rig.backend(this::breakTheFirst);
+    }
+
+    @AfterEach
+    void tearDown() throws IOException {
+        goOn.countDown();
+        rig.close();
+    }
+
+    private void breakTheFirst(Http connection, Http.Message request) throws IOException {
+        if (arrived.getAndIncrement() == 0) {
+            connection.reset();
+        } else {
+            connection.answer("200 OK", request.header("X-Request-Id"));
+        }
+    }
+
+    /** Starts a proxy whose loop stands still right after it began to connect for that send. */
+    private void startHolding(int atSend) throws Exception {
+        rig.module((settings, seed, actions) -> new Logic(settings, seed, (Actions) Proxy.newProxyInstance(
+                Actions.class.getClassLoader(), new Class<?>[] {Actions.class}, (self, method, args) -> {
+                    try {
+                        Object result = method.invoke(actions, args);
+                        if (method.getName().equals("send") && sends.incrementAndGet() == atSend) {
+                            connecting.countDown();
+                            rig.proxy().inLoop(() -> goOn.await(Http.PATIENCE_MS, TimeUnit.MILLISECONDS));
+                        }
+                        return result;
+                    } catch (InvocationTargetException bad) {
+                        throw bad.getCause();
+                    }
+                }))).start(Rig.entry("s", first.address(), "SERVING"),
+                        Rig.entry("t", second.address(), "SERVING"));
+    }
+
+    /** Lets the time pass and the loop go on; gives the answer. */
+    private Http.Message afterMs(Http client, long ms) throws Exception {
+        connecting.await();
+        rig.pass(ms);
+        goOn.countDown();
+        return client.read();
+    }
+
+    @Test
+    void pastTheDeadlineNothingIsWritten() throws Exception {
+        startHolding(1);
+        Http client = rig.client();
+        client.write(Rig.get("late", "X-Deadline: 8000m\r\n"));
+        assertNotEquals(200, afterMs(client, 9_000).status());
+        assertEquals(0, arrived.get());
+    }
+
+    /** Its first attempt may have run; the window in which a repeat is dropped is 9 s. */
+    @ParameterizedTest
+    @CsvSource({"9100, 1", "5000, 2"})
+    void pastTheWindowOfItsKeyNoRepeatIsWritten(long ms, int most) throws Exception {
+        startHolding(2);
+        Http client = rig.client();
+        client.write(Rig.post("/buy", "keyed", "Idempotency-Key: k\r\n"));
+        assertEquals(most == 2, afterMs(client, ms).status() == 200);
+        assertEquals(most, arrived.get());
+    }
+}
--- a/src/test/java/passhatch/proxy/Rig.java
+++ b/src/test/java/passhatch/proxy/Rig.java
@@ -15,6 +15,7 @@
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.atomic.AtomicLong;
 import passhatch.proxy.Http.Message;
 
 /** A proxy under test with the discovery it watches. Lists of backends are handed in line by line. */
@@ -33,6 +34,8 @@
     private String discoveryInFile;
     private String console;
     private ProxyServer proxy;
+    /** How far the proxy's clock is ahead; its timers are not. */
+    private final AtomicLong aheadNs = new AtomicLong();
     private ProxyServer.Module module = passhatch.Logic::new;
 
     /** What the script puts into {@link #lines} to end a watch. */
@@ -155,7 +158,8 @@
 
     private Rig start(Map<String, String> environment) throws Exception {
         proxy = ProxyServer.start(ProxyConfig.read(environment),
-                new EventLog(new PrintStream(log, true, StandardCharsets.UTF_8)), module);
+                new EventLog(new PrintStream(log, true, StandardCharsets.UTF_8)), module,
+                new Clock(() -> System.nanoTime() + aheadNs.get()));
         awaitReady(proxy.address());
         return this;
     }
@@ -185,6 +189,11 @@
         }
     }
 
+    /** To the proxy, time passes in which it did nothing. */
+    void pass(long ms) {
+        aheadNs.addAndGet(ms * 1_000_000);
+    }
+
     ProxyServer proxy() {
         return proxy;
     }
--- a/src/test/java/passhatch/proxy/ScriptedModule.java
+++ b/src/test/java/passhatch/proxy/ScriptedModule.java
@@ -9,12 +9,16 @@
 
     private ScriptedModule() { }
 
-    /** A module that does with each event, by its name and arguments, what the test says. */
+    /**
+     * A module that does with each event, by its name and arguments, what the test says. It never has anything
+     * against what it sends.
+     */
     static Balancer of(BiConsumer<String, Object[]> told) {
         return (Balancer) Proxy.newProxyInstance(Balancer.class.getClassLoader(),
                 new Class<?>[] {Balancer.class}, (self, method, args) -> {
                     told.accept(method.getName(), args);
-                    return method.getReturnType() == boolean.class ? false : null;
+                    return method.getReturnType() == boolean.class ? method.getName().equals("maySend")
+                            : null;
                 });
     }
 }
