Look at a kept backend connection before a call is written to it

Symptom in a test that forces the order: the backend sends a second answer, or closes, in the turn of the loop in which its connection is taken for the next call. The call then got the second answer to the call before as its own, which is an answer that no backend made for it; or it ended in a reset, after which an unsafe call may not be repeated though nothing ran.

Ruled out: bytes that come with the answer (finish waits for the loop to read them) and bytes or an end read while the connection is idle (they close it). What was left is what has arrived and is not read yet.

At fault: BackendPool.takeIdle, which went by what was known when the turn began. A kept connection is now read first.

Tests: BackendPoolTest.aKeptConnectionIsLookedAtBeforeItIsUsed, with a close, a reset and a second answer, all three seen to fail without the mend.

--- a/src/main/java/passhatch/proxy/BackendPool.java
+++ b/src/main/java/passhatch/proxy/BackendPool.java
@@ -15,6 +15,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -253,7 +254,7 @@
         Deque<Connection> at = idle.get(target);
         while (at != null && !at.isEmpty()) {
             Connection c = at.pollFirst();
-            if (c.channel.isActive() && c.idleSinceUs > clock.nowUs() - idleUs) {
+            if (c.idleSinceUs > clock.nowUs() - idleUs && c.stands()) {
                 return c;
             }
             c.channel.close();
@@ -401,6 +402,17 @@
             return new ChannelHandler[] {new SurplusGuard(), decoder, new HttpRequestEncoder(), this};
         }
 
+        /**
+         * Whether it can carry a call. Its end, or a second answer to the call before, may have come in this
+         * turn of the loop and lie unread: so what there is gets read first.
+         */
+        boolean stands() {
+            if (channel.isActive() && channel.unsafe() instanceof AbstractNioChannel.NioUnsafe socket) {
+                socket.read();
+            }
+            return channel.isActive();
+        }
+
         /** Writes the message, unless the call has been given up or must not go out any more. */
         void write(Call toWrite) {
             if (toWrite.ended) {
--- a/src/test/java/passhatch/proxy/BackendPoolTest.java
+++ b/src/test/java/passhatch/proxy/BackendPoolTest.java
@@ -192,6 +192,30 @@
         }
     }
 
+    /** It is taken in the turn in which its end, or a second answer, has come in unread. */
+    @ParameterizedTest
+    @ValueSource(strings = {"close", "reset", "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nsecond"})
+    void aKeptConnectionIsLookedAtBeforeItIsUsed(String event) throws Exception {
+        BlockingQueue<Http> answered = new LinkedBlockingQueue<>();
+        try (ScriptedServer backend = new ScriptedServer((connection, request) -> {
+            connection.answer("200 OK", "own");
+            answered.add(connection);
+        })) {
+            assertEquals("own", body(backend.address()));
+            Http kept = answered.take();
+            loop.submit(() -> {
+                switch (event) {
+                    case "close" -> kept.close();
+                    case "reset" -> kept.reset();
+                    default -> kept.write(event);
+                }
+                return pool.send(new Target("s", backend.address()), outgoing(), results::add);
+            }).get();
+            assertEquals("own", new String(next().body(), StandardCharsets.UTF_8));
+            assertEquals(2, backend.connections.get());
+        }
+    }
+
     /** Another backend at the address of one that has gone starts on connections of its own. */
     @Test
     void anotherBackendAtTheAddressGetsItsOwnConnections() throws Exception {
--- a/src/test/java/passhatch/proxy/ScriptedModule.java
+++ b/src/test/java/passhatch/proxy/ScriptedModule.java
@@ -10,8 +10,8 @@
     private ScriptedModule() { }
 
     /**
-     * A module that does with each event, by its name and arguments, what the test says. It never has anything
-     * against what it sends.
+     * A module that does with each event, by its name and arguments, what the test says. It never has
+     * anything against what it sends.
      */
     static Balancer of(BiConsumer<String, Object[]> told) {
         return (Balancer) Proxy.newProxyInstance(Balancer.class.getClassLoader(),
