Pool test: the scripted backend closes by the thread that reads, which lets go at once

The reset case failed once in some runs: a socket closed while another thread reads it is let go of only later, so its reset could come after the look. Now the thread that reads does it, and the loop waits for that.

--- a/src/test/java/passhatch/proxy/BackendPoolTest.java
+++ b/src/test/java/passhatch/proxy/BackendPoolTest.java
@@ -18,6 +18,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -196,19 +197,23 @@
     @ParameterizedTest
     @ValueSource(strings = {"close", "reset", "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nsecond"})
     void aKeptConnectionIsLookedAtBeforeItIsUsed(String event) throws Exception {
-        BlockingQueue<Http> answered = new LinkedBlockingQueue<>();
+        CountDownLatch taken = new CountDownLatch(1);
+        CountDownLatch happened = new CountDownLatch(1);
+        // By the thread that reads there: closed by another while it reads, a socket is let go of only later.
         try (ScriptedServer backend = new ScriptedServer((connection, request) -> {
             connection.answer("200 OK", "own");
-            answered.add(connection);
+            taken.await();
+            switch (event) {
+                case "close" -> connection.close();
+                case "reset" -> connection.reset();
+                default -> connection.write(event);
+            }
+            happened.countDown();
         })) {
             assertEquals("own", body(backend.address()));
-            Http kept = answered.take();
             loop.submit(() -> {
-                switch (event) {
-                    case "close" -> kept.close();
-                    case "reset" -> kept.reset();
-                    default -> kept.write(event);
-                }
+                taken.countDown();
+                assertTrue(happened.await(Http.PATIENCE_MS, TimeUnit.MILLISECONDS));
                 return pool.send(new Target("s", backend.address()), outgoing(), results::add);
             }).get();
             assertEquals("own", new String(next().body(), StandardCharsets.UTF_8));
