Give up answers that come too early or never end

- A 200 before the last byte of its request was written was served.
A backend starts only then, so it is the answer to something else.
It now fails the attempt, as one that may have run.
- An answer of unknown length is passed on after 150 ms, and from then on had no deadline: one that dripped on had neither a stall nor an end.
It keeps its deadline now unless more than 64 KiB came or its pace is that of a long one.
Its connection is not used again.
- One that ran on at full speed was passed on without bound; it ends at 32 MB, the most that a body may hold.

Option not taken: holding all short answers until they are whole, as the first bytes of long ones are timed. At fault: BackendPool.Connection.finish, stream and passOn. Tests: three in LargeBodiesTest.

--- a/src/main/java/passhatch/proxy/AnswerReader.java
+++ b/src/main/java/passhatch/proxy/AnswerReader.java
@@ -21,9 +21,9 @@
 final class AnswerReader {
 
     /** A longer answer is passed on as it comes. */
-    private static final int HELD = 1 << 16;
+    static final int HELD = 1 << 16;
     /** None is longer: what tells of more is spoilt. */
-    private static final long MOST_BODY = RequestReader.MOST_BODY;
+    static final long MOST_BODY = RequestReader.MOST_BODY;
     /** Interim answers before the final one; a backend that sends more will not come to an end. */
     private static final int MOST_INTERIM = 16;
 
--- a/src/main/java/passhatch/proxy/BackendPool.java
+++ b/src/main/java/passhatch/proxy/BackendPool.java
@@ -54,6 +54,10 @@
     private static final long MOST_STALL_US = 4_000_000;
     /** An answer of unknown length is passed on as it comes once it takes longer than this. */
     private static final long HOLD_MS = 150;
+    /** An answer of unknown length that is slower than this by its deadline will not come to its end. */
+    private static final long LEAST_BYTES_A_SECOND = 16_000;
+    /** A pace is known after so long. */
+    private static final long LEAST_SEEN_US = 400_000;
     /** Bytes on their way to a peer beyond which no more are read for it. */
     static final WriteBufferWaterMark WRITE_MARKS = new WriteBufferWaterMark(1 << 14, 1 << 15);
     static final int MOST_READ = 1 << 15;
@@ -321,6 +325,14 @@
         }
 
         private void timeUp() {
+            if (sink != null && connection.passed > AnswerReader.HELD) {
+                // It is long, and what has begun to be passed on goes on for as long as it moves.
+                return;
+            }
+            if (sink != null && connection.mayGrowLong()) {
+                timeout = loop.schedule(this::timeUp, HOLD_MS, TimeUnit.MILLISECONDS);
+                return;
+            }
             // What was never written whole cannot run: the connection did not come up in time.
             giveUp(written ? outgoing.timeout() : Outcome.CONNECT_FAILED);
         }
@@ -393,6 +405,9 @@
         long idleSinceUs;
         /** When bytes of a long body or answer last moved. */
         long movedUs;
+        /** Bytes of a long answer passed on, and since when they are. */
+        private long passed;
+        private long passedSinceUs;
 
         Connection(Target target) {
             this.target = target;
@@ -529,10 +544,20 @@
                 return;
             }
             call.sink = sink;
-            if (call.timeout != null) {
+            byte[] held = reader.takeHeld();
+            passed = held.length;
+            passedSinceUs = clock.nowUs();
+            // One that may turn out short is owed by its deadline, as all short ones are.
+            if (call.timeout != null && reader.length() > AnswerReader.HELD) {
                 call.timeout.cancel(false);
             }
-            pass(Unpooled.wrappedBuffer(reader.takeHeld()));
+            pass(Unpooled.wrappedBuffer(held));
+        }
+
+        /** Whether an answer of unknown length comes at the pace of a long one, or has only just begun. */
+        private boolean mayGrowLong() {
+            long sinceUs = clock.nowUs() - passedSinceUs;
+            return sinceUs < LEAST_SEEN_US || passed * 1_000_000 / sinceUs >= LEAST_BYTES_A_SECOND;
         }
 
         private void passOn(HttpObject part) {
@@ -541,6 +566,12 @@
                 return;
             }
             if (part instanceof HttpContent content && content.content().isReadable()) {
+                passed += content.content().readableBytes();
+                if (passed > AnswerReader.MOST_BODY) {
+                    log.line(Kind.BACKEND, "an answer from " + target.id() + " does not come to an end");
+                    abort();
+                    return;
+                }
                 pass(content.content().retain());
             }
             if (part instanceof LastHttpContent && call != null) {
@@ -575,6 +606,10 @@
             if (answered == null) {
                 return;
             }
+            if (given.outcome() == Outcome.OK && !answered.written && answered.sink == null) {
+                // No backend starts on a request before it has all: nobody knows whose answer this is.
+                given = Result.without(Outcome.ERROR);
+            }
             boolean clean = !surplus && !decoder.holdsMore() && answered.written && reader.keepsAlive();
             reader = new AnswerReader();
             if (clean && channel.isActive()) {
--- a/src/test/java/passhatch/proxy/LargeBodiesTest.java
+++ b/src/test/java/passhatch/proxy/LargeBodiesTest.java
@@ -462,6 +462,49 @@
         assertEquals(503, client.read().status());
     }
 
+    /** A backend starts on a request when it has all of it: nobody knows whose answer that is. */
+    @Test
+    void aGoodAnswerThatComesBeforeTheBodyIsWholeIsNone() throws Exception {
+        start((connection, start) -> connection.answer("200 OK", "another's"));
+        Http client = post("/move", "Content-Length: " + LARGE + "\r\n");
+        client.write(Arrays.copyOf(bytes, 200_000));
+        assertEquals(502, client.read().status());
+    }
+
+    /** Some bytes come ever again, so no stall shows; its request has its deadline all the same. */
+    @Test
+    void anAnswerThatDripsOnIsBrokenOffAtItsDeadline() throws Exception {
+        CountDownLatch over = new CountDownLatch(1);
+        start((connection, start) -> {
+            connection.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+            while (!over.await(20, TimeUnit.MILLISECONDS)) {
+                connection.write("1\r\nx\r\n");
+            }
+        });
+        Http client = post("/move", "Content-Length: 0\r\nX-Deadline: 900m\r\n");
+        String all = new String(client.in().readAllBytes(), StandardCharsets.US_ASCII);
+        assertTrue(all.startsWith("HTTP/1.1 200 ") && !all.contains("\r\n0\r\n"), all);
+        over.countDown();
+    }
+
+    @Test
+    void anAnswerThatRunsOnIsBrokenOffAtTheMostItMayHold() throws Exception {
+        byte[] chunk = ("4000\r\n" + "x".repeat(1 << 14) + "\r\n").getBytes(StandardCharsets.US_ASCII);
+        start((connection, start) -> {
+            connection.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+            while (true) {
+                connection.write(chunk);
+            }
+        });
+        Http client = post("/move", "Content-Length: 0\r\n");
+        long got = 0;
+        byte[] some = new byte[1 << 16];
+        for (int n = client.in().read(some); n >= 0 && got < 40L << 20; n = client.in().read(some)) {
+            got += n;
+        }
+        assertTrue(got < 40L << 20);
+    }
+
     @Test
     void malformedChunksInALongBodyEndItEverywhere() throws Exception {
         CountDownLatch cut = new CountDownLatch(1);
