Close what is open to a backend's earlier process when a list tells of a new start

Found in the review of lists. A backend at the same address with another start kept its idle connections. They belong to the process before; where its machine vanished they stand until they are used, and the call that uses one ends in a reset, which an unsafe one may not repeat. What is connecting at that moment is not written either.

At fault: ProxyLoop.learn, which compared name and address. Test: DiscoveryTest, seen to fail without the mend.

--- a/src/main/java/passhatch/proxy/ProxyLoop.java
+++ b/src/main/java/passhatch/proxy/ProxyLoop.java
@@ -73,13 +73,20 @@
     /** A backend at its address, from when it is listed until it is gone and nothing is out there. */
     private static final class Backend {
         final Target target;
+        final long startedAtUs;
         boolean up;
         boolean listed = true;
         /** Attempts and probes out. */
         int out;
 
-        Backend(Target target) {
+        Backend(Target target, long startedAtUs) {
             this.target = target;
+            this.startedAtUs = startedAtUs;
+        }
+
+        /** Whether it is the process that listens at the address since then. */
+        boolean is(Target other, long startedAtOtherUs) {
+            return target.equals(other) && startedAtUs == startedAtOtherUs;
         }
     }
 
@@ -197,8 +204,8 @@
 
     /**
      * Takes in what discovery says. A backend that is gone stays known only until its last attempt has ended:
-     * ever new ones come, and what nobody forgets grows for good. One at another address than before is
-     * another process.
+     * ever new ones come, and what nobody forgets grows for good. One at another address, or with another
+     * start, than before is another process: what is open to the one before is of no use.
      */
     private void learn(EndpointList list) {
         if (list.whole()) {
@@ -209,7 +216,8 @@
         for (EndpointList.Endpoint e : list.endpoints()) {
             Target target = new Target(e.server().id(), e.address());
             Backend known = backends.get(target.id());
-            if (known != null && !known.target.equals(target)) {
+            long startedAtUs = e.server().startedAtUs();
+            if (known != null && e.server().status() != ServerStatus.GONE && !known.is(target, startedAtUs)) {
                 leave(known);
                 known = null;
             }
@@ -220,7 +228,7 @@
                 continue;
             }
             if (known == null) {
-                known = new Backend(target);
+                known = new Backend(target, startedAtUs);
                 backends.put(target.id(), known);
             }
             known.listed = true;
--- a/src/test/java/passhatch/proxy/DiscoveryTest.java
+++ b/src/test/java/passhatch/proxy/DiscoveryTest.java
@@ -92,4 +92,17 @@
             assertEquals("a", rig.call(Rig.get("r", "")).text());
         }
     }
+
+    /** What is open to the process before is of no use; at the latest the first call would find it broken. */
+    @Test
+    void aBackendWithANewStartIsSpokenToOnNewConnections() throws Exception {
+        ScriptedServer backend = saying("a");
+        rig.start(up("s", backend));
+        assertEquals("a", rig.call(Rig.get("r", "")).text());
+        rig.lines.add(Rig.list(9, false, up("s", backend).replace("\"since_ms\":0",
+                "\"since_ms\":1600000000000")));
+        backend.awaitEnded();
+        assertEquals("a", rig.call(Rig.get("q", "")).text());
+        assertEquals(2, backend.connections.get());
+    }
 }
