End an upload at its backend when its client leaves, also where cancelling is not allowed

Found in the review: where the settings do not allow attempts to be called off, the module leaves them to run when their client goes. One whose body is still coming in can never be whole, has no time-out until it is, and held its connection and its place at the server for good.

At fault: ProxyLoop.clientGone. Such an attempt is now ended there, as an answer under way is. Test: LargeBodiesTest.anUploadWhoseClientLeavesEndsAtItsBackendToo.

--- a/src/main/java/passhatch/proxy/ProxyLoop.java
+++ b/src/main/java/passhatch/proxy/ProxyLoop.java
@@ -332,11 +332,16 @@
     void clientGone(String id) {
         Exchange e = exchanges.get(id);
         if (e != null && !e.answered) {
+            boolean arriving = e.arriving;
             end(e);
             if (e.stream != null && e.stream.handle != null) {
                 // It is the client's: the module has nothing to call off any more.
                 e.stream.handle.cancel();
             }
+            if (arriving) {
+                // No attempt can come to be whole, whether or not attempts may be called off.
+                e.attempts.stream().filter(a -> a.handle != null).forEach(a -> a.handle.cancel());
+            }
             tell(e, () -> balancer.clientGone(clock.nowUs(), id));
             forget(e);
         }
--- a/src/test/java/passhatch/proxy/LargeBodiesTest.java
+++ b/src/test/java/passhatch/proxy/LargeBodiesTest.java
@@ -471,6 +471,27 @@
         assertEquals(502, client.read().status());
     }
 
+    /** It can never be whole, so it may be called off where the settings do not allow that for others. */
+    @Test
+    void anUploadWhoseClientLeavesEndsAtItsBackendToo() throws Exception {
+        CountDownLatch begun = new CountDownLatch(1);
+        CountDownLatch ended = new CountDownLatch(1);
+        rig.limit("cancel", false);
+        start((connection, start) -> {
+            begun.countDown();
+            try {
+                connection.in().readAllBytes();
+            } finally {
+                ended.countDown();
+            }
+        });
+        Http client = post("/move", "Content-Length: " + LARGE + "\r\n");
+        client.write(Arrays.copyOf(bytes, 200_000));
+        assertTrue(begun.await(Http.PATIENCE_MS, TimeUnit.MILLISECONDS));
+        client.close();
+        assertTrue(ended.await(Http.PATIENCE_MS, TimeUnit.MILLISECONDS));
+    }
+
     /** Some bytes come ever again, so no stall shows; its request has its deadline all the same. */
     @Test
     void anAnswerThatDripsOnIsBrokenOffAtItsDeadline() throws Exception {
