Open a watch anew that stays within a list, and test the other silent ones

Found in the review of watches that break in mid-object. Since lists may be indented, an object that lost its rest is waited for over any number of lines, and the empty lines that discovery sends as a sign of life reset the time for silence: such a watch would stay up and deaf. An object that takes longer than the time for silence now ends its watch.

Tests: DiscoveryTest.aWatchThatFallsSilentIsOpenedAnew, with that case; silence from the first byte, after the head and in mid-object, a reset, an end and a 503 were sound and have their cases.

--- a/src/main/java/passhatch/proxy/Discovery.java
+++ b/src/main/java/passhatch/proxy/Discovery.java
@@ -179,6 +179,8 @@
             implements ObjectSplitter.Listener {
         private final boolean fetch;
         private final ObjectSplitter objects = new ObjectSplitter(LONGEST_OBJECT, this);
+        /** Since when an object has been coming in; 0 where none is. */
+        private long withinSinceNs;
         private boolean ok;
         private boolean heard;
         private Channel channel;
@@ -204,7 +206,7 @@
                 }
             }
             if (ok && message instanceof HttpContent content) {
-                if (!objects.add(content.content())) {
+                if (!objects.add(content.content()) || isStuck()) {
                     log.line(Kind.DISCOVERY, "discovery: a list does not come to an end");
                     ctx.close();
                 } else if (message instanceof LastHttpContent) {
@@ -214,6 +216,17 @@
             }
         }
 
+        /** Guards against a watch that lost the rest of a list: empty lines would keep it up, deaf. */
+        private boolean isStuck() {
+            if (!objects.isWithin()) {
+                withinSinceNs = 0;
+            } else if (withinSinceNs == 0) {
+                withinSinceNs = loop.ticker().nanoTime();
+            }
+            return objects.isWithin()
+                    && loop.ticker().nanoTime() - withinSinceNs > TimeUnit.MILLISECONDS.toNanos(SILENCE_MS);
+        }
+
         private boolean isHeard() {
             return this == current || this == previous;
         }
@@ -248,6 +261,7 @@
                 skipped(bad.getMessage().lines().findFirst().orElse(""));
                 return;
             }
+            withinSinceNs = 0;
             heard = true;
             if (this == previous) {
                 listener.listed(list);
--- a/src/test/java/passhatch/proxy/DiscoveryTest.java
+++ b/src/test/java/passhatch/proxy/DiscoveryTest.java
@@ -6,6 +6,9 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -105,4 +108,39 @@
         assertEquals("a", rig.call(Rig.get("q", "")).text());
         assertEquals(2, backend.connections.get());
     }
+
+    /** How a watch may end with no word: each is opened anew, and the list held meanwhile stands. */
+    @ParameterizedTest
+    @ValueSource(strings = {"", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\n{\"index\":\r\n", "lines", "reset", "end",
+        "HTTP/1.1 503 Down\r\nContent-Length: 0\r\n\r\n"})
+    void aWatchThatFallsSilentIsOpenedAnew(String first) throws Exception {
+        ScriptedServer backend = saying("a");
+        AtomicInteger calls = new AtomicInteger();
+        CountDownLatch over = new CountDownLatch(1);
+        try (ScriptedServer discovery = new ScriptedServer((connection, request) -> {
+            String head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+            if (calls.getAndIncrement() > 0) {
+                String list = Rig.list(8, true, up("s", backend)) + "\n";
+                connection.write(head + Integer.toHexString(list.length()) + "\r\n" + list + "\r\n");
+            } else if (first.equals("reset")) {
+                connection.reset();
+            } else if (first.equals("end")) {
+                connection.write(head + "0\r\n\r\n");
+            } else if (first.equals("lines")) {
+                connection.write(head + "9\r\n{\"index\":\r\n");
+                while (!over.await(500, TimeUnit.MILLISECONDS)) {
+                    connection.write("1\r\n\n\r\n");
+                }
+            } else {
+                connection.write(first);
+            }
+        })) {
+            rig.startAt(discovery.address());
+            assertEquals(2, calls.get());
+            assertEquals("a", rig.call(Rig.get("r", "")).text());
+        } finally {
+            over.countDown();
+        }
+    }
 }
