Break answers off that hang when the process is about to be killed

It passes over each request whose answer is passed on already.

At fault: ProxyLoop.answerAll. An answer that is short so far, or of which no more comes, is now broken off there, so that its client can tell; long ones that move go on.

Test: EndingTest.anAnswerThatHangsIsBrokenOff.

--- a/src/main/java/passhatch/proxy/BackendPool.java
+++ b/src/main/java/passhatch/proxy/BackendPool.java
@@ -130,6 +130,9 @@
 
         /** Gives it so long from now. */
         void expireIn(long us);
+
+        /** Breaks an answer off that is passed on and will not come to its end soon. */
+        void breakOff();
     }
 
     /**
@@ -324,6 +327,13 @@
             }
         }
 
+        @Override
+        public void breakOff() {
+            if (sink != null && connection.hangs()) {
+                giveUp(outgoing.timeout());
+            }
+        }
+
         private void timeUp() {
             if (sink != null && connection.passed > AnswerReader.HELD) {
                 // It is long, and what has begun to be passed on goes on for as long as it moves.
@@ -554,6 +564,12 @@
             pass(Unpooled.wrappedBuffer(held));
         }
 
+        /** Whether its long answer has turned out short so far, or its backend gives no more of it. */
+        private boolean hangs() {
+            return Math.max(passed, reader.length()) <= AnswerReader.HELD
+                    || channel.config().isAutoRead() && clock.nowUs() - movedUs > LEAST_SEEN_US;
+        }
+
         /** Whether an answer of unknown length comes at the pace of a long one, or has only just begun. */
         private boolean mayGrowLong() {
             long sinceUs = clock.nowUs() - passedSinceUs;
--- a/src/main/java/passhatch/proxy/ProxyLoop.java
+++ b/src/main/java/passhatch/proxy/ProxyLoop.java
@@ -358,11 +358,18 @@
     }
 
     /**
-     * Ends all that is open, as this process is about to: nothing taken may stay without an answer. Answers
-     * that have begun go on; cut off here they would be lost for certain.
+     * Ends all that is open, as this process is about to: nothing taken may stay without an answer. Long
+     * answers that move go on; cut off here they would be lost for certain. One that hangs is broken off:
+     * then its client can tell, and the kill would leave it with nothing.
      */
     void answerAll() {
-        List.copyOf(exchanges.values()).stream().filter(e -> e.stream == null).forEach(this::overdue);
+        for (Exchange e : List.copyOf(exchanges.values())) {
+            if (e.stream == null) {
+                overdue(e);
+            } else if (e.stream.handle != null) {
+                e.stream.handle.breakOff();
+            }
+        }
     }
 
     private void attemptEnded(Exchange e, Attempt attempt, Result result) {
--- a/src/test/java/passhatch/proxy/EndingTest.java
+++ b/src/test/java/passhatch/proxy/EndingTest.java
@@ -4,9 +4,12 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
@@ -83,6 +86,34 @@
         }
     }
 
+    /** Its answer has begun and hangs, or drips on; by the kill its client has to know of it. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void anAnswerThatHangsIsBrokenOff(boolean drips) throws Exception {
+        CountDownLatch over = new CountDownLatch(1);
+        try (Rig rig = new Rig(folder)) {
+            ScriptedServer backend = rig.backend((connection, request) -> {
+                connection.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n");
+                while (!over.await(20, TimeUnit.MILLISECONDS)) {
+                    connection.write(drips ? "1\r\nx\r\n" : "");
+                }
+            });
+            rig.start(Rig.entry("s", backend.address(), "SERVING"));
+            Http client = rig.client();
+            client.write(Rig.get("r", ""));
+            assertEquals("HTTP/1.1 200 OK", client.line(), "it is passed on");
+            rig.proxy().shutDown();
+            // The deadline of 10 s would end it too, and the kill comes at 3.7 s.
+            long lateNs = System.nanoTime() + 9_000_000_000L;
+            String rest = new String(client.in().readAllBytes(), StandardCharsets.US_ASCII);
+            assertTrue(System.nanoTime() < lateNs);
+            assertTrue(rest.endsWith("1\r\nx\r\n"), rest);
+            assertTrue(rig.proxy().awaitEnd(Http.PATIENCE_MS));
+        } finally {
+            over.countDown();
+        }
+    }
+
     /** It changes nothing, and neither does one that comes while staff have drained the proxy. */
     @Test
     void aSecondSigtermChangesNothing() throws Exception {
--- a/src/test/java/passhatch/proxy/LargeBodiesTest.java
+++ b/src/test/java/passhatch/proxy/LargeBodiesTest.java
@@ -503,9 +503,16 @@
             }
         });
         Http client = post("/move", "Content-Length: 0\r\nX-Deadline: 900m\r\n");
-        String all = new String(client.in().readAllBytes(), StandardCharsets.US_ASCII);
-        assertTrue(all.startsWith("HTTP/1.1 200 ") && !all.contains("\r\n0\r\n"), all);
+        ByteArrayOutputStream all = new ByteArrayOutputStream();
+        long patienceEndsNs = System.nanoTime() + Http.PATIENCE_MS * 1_000_000L;
+        int b = client.in().read();
+        for (; b >= 0 && System.nanoTime() < patienceEndsNs; b = client.in().read()) {
+            all.write(b);
+        }
         over.countDown();
+        assertEquals(-1, b, "it was not broken off");
+        String text = all.toString(StandardCharsets.US_ASCII);
+        assertTrue(text.startsWith("HTTP/1.1 200 ") && !text.contains("\r\n0\r\n"), text);
     }
 
     @Test
