Keep the files of proxies apart whose names begin alike

Found in the review: the files of proxy n1-b begin with the prefix of n1, so in one folder n1 took n1-b's process for its own fellow: it halved its descriptors and left its clients to it at SIGTERM. Hyphens in a name are now written %2D. Across the upgrade that brings this, two processes of a name with a hyphen do not see each other.

At fault: StateFolder's prefix. Test: HandoverTest.proxiesOfOtherNamesAreOthers, now with such names.

--- a/src/main/java/passhatch/proxy/StateFolder.java
+++ b/src/main/java/passhatch/proxy/StateFolder.java
@@ -47,7 +47,9 @@
     /** Shows that this process lives; it does not serve yet. */
     StateFolder(Path folder, String proxy) throws IOException {
         this.folder = folder;
-        this.prefix = "passhatch-" + URLEncoder.encode(proxy, StandardCharsets.UTF_8) + "-";
+        // With no hyphen in it, the files of n1-b are not among those that begin with n1.
+        String name = URLEncoder.encode(proxy, StandardCharsets.UTF_8).replace("-", "%2D");
+        this.prefix = "passhatch-" + name + "-";
         // Locked before it gets its name: one that is not locked passes for that of a dead process.
         Path unnamed = folder.resolve(prefix + id + ".new");
         this.life = FileChannel.open(unnamed, StandardOpenOption.CREATE_NEW, StandardOpenOption.WRITE);
--- a/src/test/java/passhatch/proxy/HandoverTest.java
+++ b/src/test/java/passhatch/proxy/HandoverTest.java
@@ -23,6 +23,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** What two processes of one proxy know of each other by their files; here both stand in one. */
 @Timeout(60)
@@ -209,11 +211,15 @@
         }
     }
 
-    @Test
-    void proxiesOfOtherNamesAreOthers() throws Exception {
+    /** Also where one name begins like another. */
+    @ParameterizedTest
+    @ValueSource(strings = {"n1", "n", "n/0-b", "n/0-"})
+    void proxiesOfOtherNamesAreOthers(String name) throws Exception {
         Side side = new Side(folder);
-        try (StateFolder other = new StateFolder(folder, "n1")) {
+        try (StateFolder other = new StateFolder(folder, name);
+                StateFolder same = new StateFolder(folder, "n/0")) {
             assertTrue(other.peers().isEmpty());
+            assertEquals(1, same.peers().size(), "its own fellow alone");
             assertTrue(side.setOut("a", true));
             assertNull(other.readState());
         }
