End a start with one plain line for every wrong setting, and charge no tenant unasked

Found in the review of settings, by a table of wrong values: - a value that only the module checks (a deadline below its aim, a grace below 0, no proxies) ended the start with a stack trace; ProxyServer.start now says it in one line; - a class or tenant with no name, or one given twice, was served under the name "null" or not at all (ProxyConfig.names); a connect time-out or a limit on sockets that is no number or 0 was passed over; - a request that names no tenant was charged to the first one's share (RequestParser.tenant).

--- a/src/main/java/passhatch/Balancer.java
+++ b/src/main/java/passhatch/Balancer.java
@@ -203,7 +203,7 @@
      *
      * @param id never used again, not even for another try of the same client
      * @param requestClass its class, by position in the settings
-     * @param tenant its tenant, 0 where there are none
+     * @param tenant its tenant; the number of tenants where it names none
      * @param timeLeftUs until the client gives up this try
      * @param workUs expected work on a standard core; 0 where unknown
      * @param clientRetry true where the client says that it tries again
--- a/src/main/java/passhatch/proxy/ProxyConfig.java
+++ b/src/main/java/passhatch/proxy/ProxyConfig.java
@@ -9,6 +9,7 @@
 import java.nio.file.Files;
 import java.nio.file.InvalidPathException;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import passhatch.Balancer.Settings;
@@ -82,11 +83,21 @@
         Object ms = params.get("limits") instanceof Map<?, ?> m ? m.get("connectTimeoutUs") : null;
         return new ProxyConfig(name, listen, discovery, seed(file.get("seed")), settings,
                 names(params, "categories"), names(params, "tenants"), zones, models,
-                ms instanceof Number n ? n.longValue() : DEFAULT_CONNECT_TIMEOUT_US,
-                limits.get("sockets") instanceof Number n ? n.intValue() : DEFAULT_SOCKETS, known,
+                aboveZero("settings: limits.connectTimeoutUs", ms, DEFAULT_CONNECT_TIMEOUT_US),
+                (int) aboveZero("limits.sockets", limits.get("sockets"), DEFAULT_SOCKETS), known,
                 console(env, file), folder(env));
     }
 
+    private static long aboveZero(String what, Object value, long absent) throws BadConfig {
+        if (value == null) {
+            return absent;
+        }
+        if (value instanceof Number n && n.longValue() > 0 && n.longValue() <= Integer.MAX_VALUE) {
+            return n.longValue();
+        }
+        throw new BadConfig("config: " + what + " must be a whole number above 0");
+    }
+
     private static Path folder(Map<String, String> env) throws BadConfig {
         String folder = env.get("TMPDIR");
         try {
@@ -167,9 +178,19 @@
         return in.get(key) instanceof List<?> list ? list.stream().map(String::valueOf).toList() : List.of();
     }
 
-    private static List<String> names(Map<String, Object> in, String key) {
-        return in.get(key) instanceof List<?> list
-                ? list.stream().map(item -> String.valueOf(((Map<?, ?>) item).get("name"))).toList()
-                : List.of();
+    /** What is told apart by name must have one of its own: a path or a header is held against it. */
+    private static List<String> names(Map<String, Object> in, String key) throws BadConfig {
+        List<String> names = new ArrayList<>();
+        if (in.get(key) instanceof List<?> list) {
+            for (Object item : list) {
+                Object name = ((Map<?, ?>) item).get("name");
+                if (!(name instanceof String text) || text.isBlank() || names.contains(text)) {
+                    throw new BadConfig("config: settings: " + key + "[" + names.size()
+                            + "].name is missing or given twice");
+                }
+                names.add(text);
+            }
+        }
+        return List.copyOf(names);
     }
 }
--- a/src/main/java/passhatch/proxy/ProxyServer.java
+++ b/src/main/java/passhatch/proxy/ProxyServer.java
@@ -116,7 +116,12 @@
     static ProxyServer start(ProxyConfig config, EventLog log, Module module, Clock clock)
             throws ProxyConfig.BadConfig, InterruptedException, ExecutionException {
         ProxyServer server = new ProxyServer(config, log);
-        server.loop.submit(() -> server.build(config, module, clock)).sync();
+        try {
+            server.loop.submit(() -> server.build(config, module, clock)).sync();
+        } catch (IllegalArgumentException bad) {
+            server.group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+            throw new ProxyConfig.BadConfig("config: settings: " + bad.getMessage());
+        }
         if (config.console() == null || !server.loop.submit(server.handover::hasPeer).get()) {
             ChannelFuture listening = server.clients.listen(config.listen(), config.console() != null)
                     .await();
--- a/src/main/java/passhatch/proxy/RequestParser.java
+++ b/src/main/java/passhatch/proxy/RequestParser.java
@@ -84,9 +84,10 @@
         return kind;
     }
 
+    /** A request that names no tenant is nobody's: it must not use up the share of the first. */
     private int tenant(String name) throws BadRequest {
         if (name == null || tenants.isEmpty()) {
-            return 0;
+            return tenants.size();
         }
         int tenant = tenants.indexOf(name);
         if (tenant < 0) {
--- a/src/test/java/passhatch/proxy/Rig.java
+++ b/src/test/java/passhatch/proxy/Rig.java
@@ -11,6 +11,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
@@ -29,6 +30,7 @@
     final ByteArrayOutputStream log = new ByteArrayOutputStream();
     private final Path folder;
     private final ScriptedServer discovery;
+    private final Map<String, String> replaced = new LinkedHashMap<>();
     private int aimUs = 9_000_000;
     private int sockets = 256;
     private String discoveryInFile;
@@ -66,6 +68,12 @@
         discoveryInFile = "127.0.0.1:" + discovery.address().getPort();
     }
 
+    /** Has the configuration say something else. */
+    Rig replace(String text, String by) {
+        replaced.put(text, by);
+        return this;
+    }
+
     Rig limit(String name, Object value) {
         limits.put(name, value);
         return this;
@@ -133,7 +141,14 @@
         if (console != null) {
             config.put("console", console);
         }
-        Files.writeString(file, JSON.std.asString(config));
+        String text = JSON.std.asString(config);
+        for (Map.Entry<String, String> other : replaced.entrySet()) {
+            if (!text.contains(other.getKey())) {
+                throw new IllegalArgumentException(other.getKey() + " is not in " + text);
+            }
+            text = text.replace(other.getKey(), other.getValue());
+        }
+        Files.writeString(file, text);
         return Map.of("PROXY_NAME", "n0", "PROXY_LISTEN", "127.0.0.1:0", "PROXY_DISCOVERY",
                 "127.0.0.1:" + discovery.address().getPort(), "PROXY_CONFIG", file.toString());
     }
