See a connection as read again once what it sent ahead is read

Found while testing the bound of what is read ahead: a connection that had reached it counted as blind until its next read. Where its client sent no more, nothing was left to read, and after 0.2 s its waiting requests were no longer sent.

At fault: ClientConnection.handleSome, which let reading go on and left the mark. It is now taken off once the loop has had a turn to read. Test: LeavingClientsTest.aClientThatSentMuchIsStillThereOnceAllIsRead, on a clock that stands still, seen to fail without the mend.

--- a/src/main/java/passhatch/proxy/ClientConnection.java
+++ b/src/main/java/passhatch/proxy/ClientConnection.java
@@ -234,9 +234,7 @@
 
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
-        if (!ahead.isFull()) {
-            blindSinceUs = 0;
-        }
+        seeIfAllIsRead();
         noteArrival();
         handleOn();
         ctx.fireChannelReadComplete();
@@ -283,8 +281,16 @@
             handleOn();
         }
         noteArrival();
-        if (!ahead.isFull() && channel.isOpen() && !ended) {
+        if (!ahead.isFull() && !noMore && !channel.config().isAutoRead()) {
             channel.config().setAutoRead(true);
+            // A timer runs once the loop has read what there is; where nothing is, no read tells of it.
+            channel.eventLoop().schedule(this::seeIfAllIsRead, 1, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void seeIfAllIsRead() {
+        if (!ahead.isFull()) {
+            blindSinceUs = 0;
         }
     }
 
--- a/src/test/java/passhatch/proxy/LeavingClientsTest.java
+++ b/src/test/java/passhatch/proxy/LeavingClientsTest.java
@@ -13,11 +13,13 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 import passhatch.Balancer;
+import passhatch.Balancer.Actions;
 import passhatch.Balancer.Outcome;
 
 /**
@@ -296,4 +298,62 @@
         }).get();
         nothingWasSent();
     }
+
+    /** More came at once than is read ahead; once all of it is read its client is there as before. */
+    @Test
+    void aClientThatSentMuchIsStillThereOnceAllIsRead() throws Exception {
+        int many = 600;
+        List<String> held = new ArrayList<>();
+        BlockingQueue<Actions> module = new LinkedBlockingQueue<>();
+        rig.standStill().module((settings, seed, actions) -> {
+            module.add(actions);
+            return ScriptedModule.of((method, args) -> {
+                if (args[args.length - 1] instanceof Balancer.Request r) {
+                    int number = Integer.parseInt(r.id());
+                    if (number < 4 || number >= many - 4) {
+                        held.add(r.id());
+                        taken.add(r.id());
+                    } else {
+                        actions.refuse(r.id(), 0);
+                    }
+                }
+            });
+        }).start(Rig.entry("s", backend.address(), "SERVING"));
+        Actions actions = module.take();
+        Http client = rig.client();
+        client.write("GET /ready HTTP/1.1\r\nHost: p\r\n\r\n");
+        assertEquals(200, client.read().status());
+        StringBuilder all = new StringBuilder();
+        for (int i = 0; i < many; i++) {
+            all.append(Rig.get(String.valueOf(i), ""));
+        }
+        rig.proxy().inLoop(() -> {
+            client.write(all.toString());
+            return null;
+        }).get();
+        for (int i = 0; i < 4; i++) {
+            next(taken);
+        }
+        rig.proxy().inLoop(() -> {
+            held.forEach(id -> actions.refuse(id, 0));
+            held.clear();
+            return null;
+        });
+        for (int i = 0; i < many - 4; i++) {
+            assertEquals(503, client.read().status());
+        }
+        for (int i = 0; i < 4; i++) {
+            next(taken);
+        }
+        // Another's answer comes some turns of the loop later.
+        Rig.awaitReady(rig.proxy().address());
+        rig.pass(300);
+        rig.proxy().inLoop(() -> {
+            held.forEach(id -> actions.send(id, "s", 0));
+            return null;
+        });
+        for (int i = many - 4; i < many; i++) {
+            assertEquals(String.valueOf(i), client.read().text());
+        }
+    }
 }
--- a/src/test/java/passhatch/proxy/Rig.java
+++ b/src/test/java/passhatch/proxy/Rig.java
@@ -38,6 +38,8 @@
     private ProxyServer proxy;
     /** How far the proxy's clock is ahead; its timers are not. */
     private final AtomicLong aheadNs = new AtomicLong();
+    /** Where the proxy's clock stands still, to be moved by the test alone; 0 where it runs. */
+    private long stoodStillNs;
     private ProxyServer.Module module = passhatch.Logic::new;
 
     /** What the script puts into {@link #lines} to end a watch. */
@@ -174,7 +176,7 @@
     private Rig start(Map<String, String> environment) throws Exception {
         proxy = ProxyServer.start(ProxyConfig.read(environment),
                 new EventLog(new PrintStream(log, true, StandardCharsets.UTF_8)), module,
-                new Clock(() -> System.nanoTime() + aheadNs.get()));
+                new Clock(() -> (stoodStillNs == 0 ? System.nanoTime() : stoodStillNs) + aheadNs.get()));
         awaitReady(proxy.address());
         return this;
     }
@@ -204,6 +206,12 @@
         }
     }
 
+    /** To the proxy, no time passes but what the test says. */
+    Rig standStill() {
+        stoodStillNs = System.nanoTime();
+        return this;
+    }
+
     /** To the proxy, time passes in which it did nothing. */
     void pass(long ms) {
         aheadNs.addAndGet(ms * 1_000_000);
