Open a watch anew half a second after it breaks off within a list

At fault: Discovery.Watch. A pause of 0.5 s within an object now ends the watch; discovery writes a list in one go, and the loop reads what has come before it looks at its timers. This takes the place of the check that ended an object only when further bytes came.

Test: DiscoveryTest.aWatchThatBreaksOffWithinAListIsOpenedAnewAtOnce, seen to fail without the mend; the case with empty lines within an object passes as before.

--- a/src/main/java/passhatch/proxy/Discovery.java
+++ b/src/main/java/passhatch/proxy/Discovery.java
@@ -39,6 +39,8 @@
     private static final long LONGEST_PAUSE_MS = 500;
     /** An empty line comes every 2 s, so a watch silent for longer than two of these is dead. */
     private static final long SILENCE_MS = 4_500;
+    /** A pause within a list that is longer than this means that its rest will not come. */
+    private static final long REST_MS = 500;
     private static final int CONNECT_TIMEOUT_MS = 1_000;
     /** What is longer than this is no list of backends. */
     private static final int LONGEST_OBJECT = 1 << 22;
@@ -179,8 +181,8 @@
             implements ObjectSplitter.Listener {
         private final boolean fetch;
         private final ObjectSplitter objects = new ObjectSplitter(LONGEST_OBJECT, this);
-        /** Since when an object has been coming in; 0 where none is. */
-        private long withinSinceNs;
+        /** Waits for the rest of a list; null where none is coming in. */
+        private Future<?> rest;
         private boolean ok;
         private boolean heard;
         private Channel channel;
@@ -206,25 +208,31 @@
                 }
             }
             if (ok && message instanceof HttpContent content) {
-                if (!objects.add(content.content()) || isStuck()) {
+                if (!objects.add(content.content())) {
                     log.line(Kind.DISCOVERY, "discovery: a list does not come to an end");
                     ctx.close();
-                } else if (message instanceof LastHttpContent) {
+                    return;
+                }
+                expectRest(ctx);
+                if (message instanceof LastHttpContent) {
                     objects.end();
                     ctx.close();
                 }
             }
         }
 
-        /** Guards against a watch that lost the rest of a list: empty lines would keep it up, deaf. */
-        private boolean isStuck() {
-            if (!objects.isWithin()) {
-                withinSinceNs = 0;
-            } else if (withinSinceNs == 0) {
-                withinSinceNs = loop.ticker().nanoTime();
+        /**
+         * Guards against a watch that breaks off within a list: what discovery wrote counts as told from then
+         * on, so the silence between lines is too long to wait for the rest. It was written in one go.
+         */
+        private void expectRest(ChannelHandlerContext ctx) {
+            if (rest != null) {
+                rest.cancel(false);
             }
-            return objects.isWithin()
-                    && loop.ticker().nanoTime() - withinSinceNs > TimeUnit.MILLISECONDS.toNanos(SILENCE_MS);
+            rest = !objects.isWithin() ? null : loop.schedule(() -> {
+                log.line(Kind.DISCOVERY, "discovery: the rest of a list does not come");
+                ctx.close();
+            }, REST_MS, TimeUnit.MILLISECONDS);
         }
 
         private boolean isHeard() {
@@ -261,7 +269,6 @@
                 skipped(bad.getMessage().lines().findFirst().orElse(""));
                 return;
             }
-            withinSinceNs = 0;
             heard = true;
             if (this == previous) {
                 listener.listed(list);
--- a/src/test/java/passhatch/proxy/DiscoveryTest.java
+++ b/src/test/java/passhatch/proxy/DiscoveryTest.java
@@ -6,7 +6,9 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
+import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
@@ -143,4 +145,18 @@
             over.countDown();
         }
     }
+
+    /** What is written counts as told, so this cannot wait for the 4.5 s that a silent watch is given. */
+    @Test
+    void aWatchThatBreaksOffWithinAListIsOpenedAnewAtOnce() throws Exception {
+        BlockingQueue<Long> calls = new LinkedBlockingQueue<>();
+        try (ScriptedServer discovery = new ScriptedServer((connection, request) -> {
+            connection.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\n{\"index\":\r\n");
+            calls.add(System.nanoTime());
+        })) {
+            rig.startWithoutList(discovery.address());
+            long first = calls.take();
+            assertTrue(calls.take() - first < 4_400_000_000L);
+        }
+    }
 }
--- a/src/test/java/passhatch/proxy/Rig.java
+++ b/src/test/java/passhatch/proxy/Rig.java
@@ -173,11 +173,23 @@
         return start(environment);
     }
 
+    /** The same, but waits for nothing. */
+    Rig startWithoutList(InetSocketAddress other) throws Exception {
+        Map<String, String> environment = new HashMap<>(environment());
+        environment.put("PROXY_DISCOVERY", "127.0.0.1:" + other.getPort());
+        return launch(environment);
+    }
+
     private Rig start(Map<String, String> environment) throws Exception {
+        launch(environment);
+        awaitReady(proxy.address());
+        return this;
+    }
+
+    private Rig launch(Map<String, String> environment) throws Exception {
         proxy = ProxyServer.start(ProxyConfig.read(environment),
                 new EventLog(new PrintStream(log, true, StandardCharsets.UTF_8)), module,
                 new Clock(() -> (stoodStillNs == 0 ? System.nanoTime() : stoodStillNs) + aheadNs.get()));
-        awaitReady(proxy.address());
         return this;
     }
 
