Start the watch as soon as a fetched list is in, not at the end of its answer

At fault: Discovery.Watch, which began to watch when the fetch's connection had ended. That now ends with its list. Test: DiscoveryTest.theWatchDoesNotWaitForTheEndOfAFetchedList, seen to fail without the mend.

--- a/src/main/java/passhatch/proxy/Discovery.java
+++ b/src/main/java/passhatch/proxy/Discovery.java
@@ -280,6 +280,10 @@
             fetched = fetch;
             pauseMs = FIRST_PAUSE_MS;
             listener.listed(list);
+            if (fetch) {
+                // All that was asked for is in, and its end may never come: until then there is no watch.
+                channel.close();
+            }
         }
 
         @Override
--- a/src/test/java/passhatch/proxy/DiscoveryTest.java
+++ b/src/test/java/passhatch/proxy/DiscoveryTest.java
@@ -159,4 +159,26 @@
             assertTrue(calls.take() - first < 4_400_000_000L);
         }
     }
+
+    /** The list is whole, its answer is not: the watch must not wait for that. */
+    @Test
+    void theWatchDoesNotWaitForTheEndOfAFetchedList() throws Exception {
+        ScriptedServer backend = saying("a");
+        BlockingQueue<Long> calls = new LinkedBlockingQueue<>();
+        try (ScriptedServer discovery = new ScriptedServer((connection, request) -> {
+            calls.add(System.nanoTime());
+            if (request.start().contains("from=7")) {
+                connection.answer("410 Gone", "");
+            } else {
+                String list = Rig.list(8, true, up("s", backend));
+                connection.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                        + Integer.toHexString(list.length()) + "\r\n" + list + "\r\n");
+            }
+        })) {
+            rig.startWithoutList(discovery.address());
+            calls.take();
+            long fetched = calls.take();
+            assertTrue(calls.take() - fetched < 4_400_000_000L);
+        }
+    }
 }
