--- a/src/main/java/passhatch/proxy/ClientConnection.java
+++ b/src/main/java/passhatch/proxy/ClientConnection.java
@@ -465,9 +465,12 @@
         handleOn();
     }
 
-    /** Only the last of the requests that are open may end the connection; one that is not all in must. */
+    /**
+     * Only the last of the requests that have been read may end the connection: its client would take those
+     * behind it for taken, and they would be lost. One that is not all in must.
+     */
     private boolean keepsAlive(Turn turn) {
-        boolean last = turns.isEmpty() || turns.size() == 1 && turns.peek() == turn;
+        boolean last = ahead.isEmpty() && (turns.isEmpty() || turns.size() == 1 && turns.peek() == turn);
         return turn.keepAlive && turn != arriving
                 && !(last && (turnedDown || server.answersEndConnections()));
     }
