--- a/src/main/java/passhatch/proxy/ClientConnection.java
+++ b/src/main/java/passhatch/proxy/ClientConnection.java
@@ -1,12 +1,16 @@
 package passhatch.proxy;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
+import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -30,8 +34,10 @@
 
     /** Requests of one connection that may be unanswered before no more are read from it. */
     private static final int MOST_PIPELINED = 4;
-    /** A connection is closed so long after an answer that ends it: at once, a reset could overtake it. */
+    /** How long a connection that is ended is still read, so that no reset overtakes its last answer. */
     private static final long LINGER_MS = 200;
+    /** And how much. */
+    private static final int MOST_LINGER_BYTES = 1 << 18;
     /** A request that is answered before all of it is in may go on for so long. */
     private static final long MOST_REST_MS = 2_000;
     /** A client that takes nothing of an answer for so long is gone. */
@@ -148,6 +154,8 @@
     private boolean turnedDown;
     /** Its last answer is written. */
     private boolean ended;
+    /** Its client has been told of its end and has not closed it yet. */
+    private boolean lingers;
 
     ClientConnection(ClientServer server, Channel channel, long nowUs) {
         this.server = server;
@@ -168,8 +176,13 @@
         return turns.isEmpty() && ahead.isEmpty() && partSinceUs == 0 && !noMore && !hasUnsent();
     }
 
-    /** Whether some of an answer has not been handed to the network yet: closed now, it would be cut off. */
+    /** Whether some of an answer may not have arrived yet: closed now, it could be cut off. */
     boolean hasUnsent() {
+        return channel.isActive() && (lingers || holdsUnsent());
+    }
+
+    /** Whether some of an answer has not been handed to the network yet. */
+    private boolean holdsUnsent() {
         return channel.isActive()
                 && channel.bytesBeforeUnwritable() < channel.config().getWriteBufferHighWaterMark();
     }
@@ -198,7 +211,7 @@
                 turnDown(HttpResponseStatus.REQUEST_TIMEOUT);
             }
         } else if (isIdle() && nowUs - idleSinceUs() > (hasAsked() ? mostIdleUs : mostUnaskedUs)) {
-            close();
+            closeIfIdle();
         }
     }
 
@@ -206,6 +219,63 @@
         channel.close();
     }
 
+    /** Whether nothing is owed any more and only its client's end is waited for. */
+    boolean lingers() {
+        return lingers;
+    }
+
+    /** Whether it is idle still once all is read that has come in by now. */
+    boolean isStillIdle() {
+        if (channel.isActive() && channel.unsafe() instanceof AbstractNioChannel.NioUnsafe socket) {
+            socket.read();
+        }
+        return isIdle();
+    }
+
+    /** Closes it unless a request has come that is not read yet: its client would have to send it again. */
+    void closeIfIdle() {
+        if (!isStillIdle()) {
+            return;
+        }
+        if (hasAsked()) {
+            noMore = true;
+            linger();
+        } else {
+            close();
+        }
+    }
+
+    /**
+     * Ends its sending, and passes over what still comes until its client closes it too. Closed at once, a
+     * reset would answer what comes, and take with it what has not arrived of the last answer.
+     */
+    private void linger() {
+        if (!channel.isActive() || ((SocketChannel) channel).isInputShutdown()) {
+            close();
+            return;
+        }
+        ended = true;
+        lingers = true;
+        channel.pipeline().addFirst(new Drain());
+        ((SocketChannel) channel).shutdownOutput();
+        channel.config().setAutoRead(true);
+        channel.eventLoop().schedule(this::close, LINGER_MS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Lets go of all that comes, up to its limit. */
+    private final class Drain extends ChannelInboundHandlerAdapter {
+        private int drained;
+
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object bytes) {
+            drained += ((ByteBuf) bytes).readableBytes();
+            ReferenceCountUtil.release(bytes);
+            if (drained > MOST_LINGER_BYTES) {
+                close();
+            }
+        }
+    }
+
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
         server.opened(this);
@@ -507,8 +577,8 @@
         ended = true;
         channel.config().setAutoRead(false);
         written.addListener(done -> {
-            if (turnedDown && done.isSuccess() && channel.isActive()) {
-                channel.eventLoop().schedule(this::close, LINGER_MS, TimeUnit.MILLISECONDS);
+            if (done.isSuccess()) {
+                linger();
             } else {
                 close();
             }
@@ -535,8 +605,12 @@
     /** A client that ends its sending has gone; one that reads on is told that it gets nothing. */
     @Override
     public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
-        if (event instanceof ChannelInputShutdownEvent && !(turnedDown && turns.isEmpty())) {
-            fail();
+        if (event instanceof ChannelInputShutdownEvent) {
+            if (lingers) {
+                close();
+            } else if (!(turnedDown && turns.isEmpty())) {
+                fail();
+            }
         }
     }
 
@@ -563,7 +637,7 @@
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         server.say("client connection: " + cause);
-        if (turnedDown) {
+        if (turnedDown || lingers) {
             close();
         } else {
             fail();
--- a/src/main/java/passhatch/proxy/ClientServer.java
+++ b/src/main/java/passhatch/proxy/ClientServer.java
@@ -188,6 +188,9 @@
             if (spared == null) {
                 break;
             }
+            if (!spared.lingers() && !spared.isStillIdle()) {
+                continue;
+            }
             log.line(Kind.EVICTION, connections.size()
                     + " clients are connected: one that is idle is let go");
             connections.remove(spared);
@@ -199,12 +202,16 @@
     }
 
     /**
-     * First those that never sent a request, the oldest first, as soon as they had the time to; then those
-     * that have been idle longest, but none that may be about to send its next.
+     * First those that are about to be closed, and those that never sent a request, the oldest first, as soon
+     * as they had the time to; then those that have been idle longest, but none that may be about to send its
+     * next.
      */
     private ClientConnection spared(long nowUs) {
         ClientConnection longestIdle = null;
         for (ClientConnection c : connections) {
+            if (c.lingers()) {
+                return c;
+            }
             if (!c.isIdle()) {
                 continue;
             }
--- a/src/test/java/passhatch/proxy/ClosingConnectionsTest.java
+++ b/src/test/java/passhatch/proxy/ClosingConnectionsTest.java
@@ -2,11 +2,14 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -14,6 +17,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import passhatch.Balancer;
 import passhatch.Balancer.Actions;
 
@@ -31,6 +36,7 @@
     private Rig rig;
     private final BlockingQueue<String> taken = new LinkedBlockingQueue<>();
     private volatile Actions actions;
+    private volatile Runnable beforeSweep;
 
     @BeforeEach
     void setUp() throws IOException {
@@ -52,6 +58,8 @@
                     if (!r.id().startsWith("held")) {
                         module.refuse(r.id(), 0);
                     }
+                } else if (method.equals("timer")) {
+                    beforeSweep.run();
                 }
             });
         }).start();
@@ -92,4 +100,53 @@
         assertNull(client.read());
         assertEquals(2, crowd.size());
     }
+
+    /** More stands unread when the answer that ends the connection is written: it must not be reset. */
+    @Test
+    void anAnswerArrivesAndThenTheEndWhateverStandsUnread() throws Exception {
+        start();
+        Http client = rig.client();
+        client.write(Rig.get("held", "Connection: close\r\n"));
+        awaitTaken("held");
+        rig.proxy().inLoop(() -> {
+            client.write(Rig.get("late", ""));
+            actions.refuse("held", 0);
+            return null;
+        }).get();
+        assertEquals(503, client.read().status());
+        assertNull(client.read(), "the end, and no reset");
+        assertEquals(200, rig.call(READY).status());
+        // A reset would have come by now, and this write would fail.
+        client.write(Rig.get("later", ""));
+        assertEquals(200, rig.call(READY).status());
+        assertTrue(taken.isEmpty(), "nothing read after the end is taken: " + taken);
+    }
+
+    /** Both orders: the request has come before the turn of the sweep, or in it, after the loop has read. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void aRequestInTheTurnOfTheIdleCloseIsServed(boolean beforeTheTurn) throws Exception {
+        rig.standStill();
+        start();
+        Http client = ready();
+        beforeSweep = () -> {
+            rig.pass(20_000);
+            try {
+                client.write(Rig.get("a", ""));
+            } catch (IOException broken) {
+                throw new UncheckedIOException(broken);
+            }
+        };
+        rig.proxy().inLoop(() -> {
+            if (beforeTheTurn) {
+                beforeSweep.run();
+            } else {
+                actions.wakeAt(0);
+            }
+            // Until the sweep is due too: timers run in the order of their times, after the sockets are read.
+            return new CountDownLatch(1).await(150, TimeUnit.MILLISECONDS);
+        }).get();
+        assertEquals(503, client.read().status());
+        awaitTaken("a");
+    }
 }
