--- a/src/main/java/passhatch/proxy/ClientServer.java
+++ b/src/main/java/passhatch/proxy/ClientServer.java
@@ -138,10 +138,25 @@
         return connections.stream().anyMatch(ClientConnection::hasUnsent);
     }
 
-    /** Closes the connections on which nothing is out, as clients expect between requests. */
+    /**
+     * Whether a first request may be on its way: behind a connection that stands in the accept queue, or on
+     * one that has only just come up.
+     */
+    boolean hasFresh() {
+        long now = clock.nowUs();
+        return listener != null && listener.isOpen() || connections.stream().anyMatch(c -> isFresh(c, now));
+    }
+
+    private static boolean isFresh(ClientConnection connection, long nowUs) {
+        return connection.isIdle() && !connection.hasAsked()
+                && nowUs - connection.idleSinceUs() < FIRST_BYTES_US;
+    }
+
+    /** Closes the connections on which nothing is out or about to be, as clients expect between requests. */
     void closeIdle() {
-        List.copyOf(connections).stream().filter(ClientConnection::isIdle)
-                .forEach(ClientConnection::close);
+        long now = clock.nowUs();
+        List.copyOf(connections).stream().filter(c -> c.isIdle() && !isFresh(c, now))
+                .forEach(ClientConnection::closeIfIdle);
     }
 
     private void beat() {
--- a/src/main/java/passhatch/proxy/ProxyServer.java
+++ b/src/main/java/passhatch/proxy/ProxyServer.java
@@ -57,6 +57,10 @@
     private int ownDescriptors;
     /** The process is about to be killed. */
     private boolean answeredAll;
+    /** All is answered but for what may still come on open connections. */
+    private boolean awaitsLast;
+    /** Whether that is over is seen in a moment. */
+    private boolean checksAgain;
     /** What the process ends with. */
     private volatile int status;
     private volatile InetSocketAddress address;
@@ -326,12 +330,24 @@
 
     /**
      * Ends once nothing is open: the network has taken all answers, where a slow client may take its time
-     * over a long one, and no request is half in. At the last, one that is half in is not waited for.
+     * over a long one, no client has only just connected, and no request is half in. At the last, one that is
+     * half in is not waited for.
      */
     private void endOnceDone() {
+        if (checksAgain) {
+            return;
+        }
         clients.closeIdle();
-        if (clients.hasUnsent() || !answeredAll && clients.hasOpen()) {
-            loop.schedule(this::endOnceDone, SENT_CHECK_MS, TimeUnit.MILLISECONDS);
+        if (clients.hasUnsent() || clients.hasFresh() || !answeredAll && clients.hasOpen()) {
+            if (!awaitsLast) {
+                awaitsLast = true;
+                log.line("the last connections are waited for");
+            }
+            checksAgain = true;
+            loop.schedule(() -> {
+                checksAgain = false;
+                proxy.whenIdle(this::endOnceDone);
+            }, SENT_CHECK_MS, TimeUnit.MILLISECONDS);
         } else {
             end();
         }
--- a/src/test/java/passhatch/proxy/ClosingConnectionsTest.java
+++ b/src/test/java/passhatch/proxy/ClosingConnectionsTest.java
@@ -7,6 +7,7 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
@@ -18,6 +19,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import passhatch.Balancer;
 import passhatch.Balancer.Actions;
@@ -149,4 +151,52 @@
         assertEquals(503, client.read().status());
         awaitTaken("a");
     }
+
+    /**
+     * All that ends a process is due in the turn in which the last clients connect and ask, as can be where
+     * deadlines are short: those in the accept queue and the one on a kept connection get their answers.
+     */
+    @ParameterizedTest
+    @CsvSource({"true, 3", "true, 0", "false, 3"})
+    void whatComesInTheTurnInWhichTheProcessEndsIsAnswered(boolean keptAsks, int fresh) throws Exception {
+        rig.replace("\"deadlineUs\":10000000", "\"deadlineUs\":300000");
+        start();
+        Http kept = ready();
+        rig.proxy().shutDown();
+        rig.awaitLog("shutting down");
+        List<Http> clients = new ArrayList<>();
+        rig.proxy().inLoop(() -> {
+            if (keptAsks) {
+                kept.write(Rig.get("kept", ""));
+                clients.add(kept);
+            } else {
+                kept.close();
+            }
+            for (int i = 0; i < fresh; i++) {
+                Http client = rig.client();
+                client.write(Rig.get("fresh" + i, ""));
+                clients.add(client);
+            }
+            return new CountDownLatch(1).await(600, TimeUnit.MILLISECONDS);
+        }).get();
+        for (Http client : clients) {
+            assertEquals(503, client.read().status());
+        }
+        assertTrue(rig.proxy().awaitEnd(Http.PATIENCE_MS));
+    }
+
+    /** Killed before it is read, a new connection counts against the proxy; its bytes come in a moment. */
+    @Test
+    void aConnectionThatHasJustComeUpIsGivenTheTimeToAskAtTheEnd() throws Exception {
+        rig.standStill().replace("\"deadlineUs\":10000000", "\"deadlineUs\":300000");
+        start();
+        rig.proxy().shutDown();
+        rig.awaitLog("shutting down");
+        Http fresh = rig.client();
+        rig.awaitLog("the last connections are waited for");
+        fresh.write(Rig.get("fresh", ""));
+        assertEquals(503, fresh.read().status());
+        rig.pass(1_000);
+        assertTrue(rig.proxy().awaitEnd(Http.PATIENCE_MS));
+    }
 }
