--- a/src/main/java/passhatch/proxy/Discovery.java
+++ b/src/main/java/passhatch/proxy/Discovery.java
@@ -37,8 +37,13 @@
 
     private static final long FIRST_PAUSE_MS = 50;
     private static final long LONGEST_PAUSE_MS = 500;
-    /** An empty line comes every 2 s, so a watch silent for longer than two of these is dead. */
-    private static final long SILENCE_MS = 4_500;
+    /** A call may have to wait for others; after this it is given up. */
+    static final long ANSWER_MS = 4_500;
+    /**
+     * An empty line comes every 2 s, so a watch that has begun and misses one by a second is dead. What it
+     * misses counts as told 6 s after it fell silent: that has to hold the time of a second watch too.
+     */
+    static final long SILENCE_MS = 3_000;
     /** A pause within a list that is longer than this means that its rest will not come. */
     private static final long REST_MS = 500;
     private static final int CONNECT_TIMEOUT_MS = 1_000;
@@ -95,8 +100,7 @@
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel ch) {
-                        ch.pipeline().addLast(new HttpClientCodec(),
-                                new ReadTimeoutHandler(SILENCE_MS, TimeUnit.MILLISECONDS), watch);
+                        ch.pipeline().addLast(new HttpClientCodec(), silentFor(ANSWER_MS), watch);
                     }
                 });
         current = watch;
@@ -113,6 +117,10 @@
         watch.channel.closeFuture().addListener(closed -> ended(watch));
     }
 
+    private static ReadTimeoutHandler silentFor(long ms) {
+        return new ReadTimeoutHandler(ms, TimeUnit.MILLISECONDS);
+    }
+
     /**
      * Watches another address from now on. Versions of the old address mean nothing to it, so it is asked for
      * the whole list first. The list held stays until it speaks, and so does the old watch: what that one
@@ -206,6 +214,7 @@
                     ctx.close();
                     return;
                 }
+                ctx.pipeline().replace(ReadTimeoutHandler.class, null, silentFor(SILENCE_MS));
             }
             if (ok && message instanceof HttpContent content) {
                 if (!objects.add(content.content())) {
--- a/src/test/java/passhatch/proxy/DiscoveryTest.java
+++ b/src/test/java/passhatch/proxy/DiscoveryTest.java
@@ -146,6 +146,61 @@
         }
     }
 
+    /**
+     * It told something, and then nothing, not even empty lines. What it misses counts as told 6 s after that
+     * and binds 2.5 s later at the most: by then a second watch may have failed to answer, too.
+     */
+    @Test
+    void aWatchThatFallsSilentLaterIsOpenedAnewSooner() throws Exception {
+        long mostPauseMs = 750;
+        assertTrue(Discovery.SILENCE_MS + mostPauseMs + Discovery.ANSWER_MS < 8_500);
+        assertTrue(Discovery.SILENCE_MS >= 2_900, "a line may be late");
+        ScriptedServer a = saying("a");
+        BlockingQueue<Long> calls = new LinkedBlockingQueue<>();
+        try (ScriptedServer discovery = new ScriptedServer((connection, request) -> {
+            String list = Rig.list(8, true, up("s", a)) + "\n";
+            connection.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                    + Integer.toHexString(list.length()) + "\r\n" + list + "\r\n");
+            calls.add(System.nanoTime());
+        })) {
+            rig.startAt(discovery.address());
+            long silentFrom = calls.take();
+            assertTrue(calls.take() - silentFrom < 4_400_000_000L);
+        }
+    }
+
+    /**
+     * The first answer to a call is the whole list, and lacks backends that drain: they get nothing new, what
+     * they have is finished there, and one that comes back is used again.
+     */
+    @Test
+    void whatAWholeListDoesNotNameIsGoneButFinishesWhatItHas() throws Exception {
+        CountDownLatch finish = new CountDownLatch(1);
+        ScriptedServer a = rig.backend((connection, request) -> {
+            finish.await();
+            connection.answer("200 OK", "a");
+        });
+        ScriptedServer b = saying("b");
+        rig.start(up("s", a));
+        Http open = rig.client();
+        open.write(Rig.post("/move", "open", ""));
+        a.next();
+        rig.lines.add(Rig.END_OF_WATCH);
+        rig.lines.add(Rig.list(9, true, up("t", b)));
+        for (int i = 0; b.received.isEmpty(); i++) {
+            rig.call(Rig.post("/move", "m" + i, "X-Deadline: 100m\r\n"));
+        }
+        int before = a.received.size();
+        assertEquals("b", rig.call(Rig.post("/move", "next", "")).text());
+        finish.countDown();
+        assertEquals("a", open.read().text());
+        assertEquals(before, a.received.size());
+        rig.lines.add(Rig.list(10, false, up("s", a), Rig.entry("t", b.address(), "DELETED")));
+        for (String text = "b"; !text.equals("a");) {
+            text = rig.call(Rig.post("/move", "back" + System.nanoTime(), "")).text();
+        }
+    }
+
     /** What is written counts as told, so this cannot wait for the 4.5 s that a silent watch is given. */
     @Test
     void aWatchThatBreaksOffWithinAListIsOpenedAnewAtOnce() throws Exception {
