--- a/src/main/java/passhatch/proxy/ClientServer.java
+++ b/src/main/java/passhatch/proxy/ClientServer.java
@@ -269,7 +269,7 @@
     }
 
     boolean isReady() {
-        return proxy.ready() && drain.takesClients();
+        return proxy.readiness().isReady() && drain.takesClients();
     }
 
     /**
--- a/src/main/java/passhatch/proxy/ProxyLoop.java
+++ b/src/main/java/passhatch/proxy/ProxyLoop.java
@@ -102,12 +102,11 @@
     private final Map<String, Backend> backends = new HashMap<>();
     private final ArrayDeque<Event> events = new ArrayDeque<>();
     private boolean deciding;
-    private boolean listed;
+    private final Readiness readiness;
     private int unanswered;
     /** Of these, the ones that are still coming in. */
     private int arriving;
     private Runnable onIdle = () -> { };
-    private Runnable onReady = () -> { };
 
     /** Something to tell the module. */
     private record Event(Exchange about, Runnable tell) { }
@@ -120,6 +119,7 @@
         this.pool = pool;
         this.maxAttempts = config.settings().limits().maxAttempts();
         this.figures = new Figures(config.classes());
+        this.readiness = new Readiness(clock, log, config);
         this.discovery = new Discovery(loop, log, config, this);
         this.balancer = module.create(config.settings(), config.seed(), this);
         remember(config.known());
@@ -128,18 +128,8 @@
         }
     }
 
-    /** Whether a list of backends has come in since the start. */
-    boolean ready() {
-        return listed;
-    }
-
-    /** Calls back, once, when a list of backends has come in, at once where one has. */
-    void whenReady(Runnable then) {
-        if (listed) {
-            then.run();
-        } else {
-            onReady = then;
-        }
+    Readiness readiness() {
+        return readiness;
     }
 
     /** The figures as of now. */
@@ -189,12 +179,9 @@
     @Override
     public void listed(EndpointList list) {
         learn(list);
-        listed = true;
         tell(null, () -> balancer.serversChanged(clock.nowUs(),
                 list.whole() ? ListKind.WHOLE : ListKind.CHANGES, list.servers()));
-        Runnable ready = onReady;
-        onReady = () -> { };
-        ready.run();
+        readiness.listed();
     }
 
     @Override
--- a/src/main/java/passhatch/proxy/ProxyServer.java
+++ b/src/main/java/passhatch/proxy/ProxyServer.java
@@ -142,7 +142,8 @@
                 server.end();
                 throw new ProxyConfig.BadConfig("PROXY_CONSOLE: " + e.getMessage());
             }
-            server.loop.execute(() -> server.proxy.whenReady(() -> server.serve(config.listen())));
+            server.loop.execute(() -> server.proxy.readiness()
+                    .whenListed(() -> server.serve(config.listen())));
         }
         return server;
     }
@@ -235,7 +236,7 @@
     private final class Staff implements ConsoleRoutes.Operations {
         @Override
         public boolean ready() {
-            return proxy.ready() && clients.isListening() && !drain.isEnding();
+            return proxy.readiness().isReady() && clients.isListening() && !drain.isEnding();
         }
 
         @Override
--- a/src/test/java/passhatch/proxy/ProxyServerTest.java
+++ b/src/test/java/passhatch/proxy/ProxyServerTest.java
@@ -103,6 +103,32 @@
         }
     }
 
+    /**
+     * Discovery is down or never answers, and the configuration names the list known last. Where it is asked,
+     * the process serves with that list after 4 s; where lists are pushed it waits.
+     */
+    @ParameterizedTest
+    @CsvSource({"on_request, false, 200", "on_request, true, 200", "pushed, false, 503", "pushed, true, 503"})
+    void isReadyWithTheListRememberedWhereNoneComes(String way, boolean silent, int status) throws Exception {
+        ScriptedServer backend = rig.backend((connection, request) -> connection.answer("200 OK", "x"));
+        rig.standStill().replace("\"pushed\"", "\"" + way + "\"")
+                .replace("\"drainGraceUs\"", "\"askEveryUs\":10000000,\"drainGraceUs\"")
+                .replace("\"endpoints\":[]", "\"endpoints\":[" + up("s", backend) + "]");
+        ScriptedServer discovery = rig.backend(ScriptedServer.SILENT);
+        if (!silent) {
+            discovery.close();
+        }
+        rig.startWithoutList(discovery.address());
+        String ready = "GET /ready HTTP/1.1\r\nHost: p\r\n\r\n";
+        rig.pass(3_900);
+        assertEquals(503, rig.call(ready).status());
+        rig.pass(200);
+        assertEquals(status, rig.call(ready).status());
+        if (status == 200) {
+            assertEquals("x", rig.call(Rig.get("r", "")).text());
+        }
+    }
+
     /** A malformed head leaves no place to read on from. */
     @Test
     void whatIsNotHttpIsTurnedDownAndTheConnectionClosed() throws Exception {
