--- a/src/main/java/passhatch/Backend.java
+++ b/src/main/java/passhatch/Backend.java
@@ -63,6 +63,13 @@
         return !out && restUntilUs <= nowUs && entryAtUs <= nowUs;
     }
 
+    /** When its rest, its entry or its report ends, if after that time; else the greatest value. */
+    long returnUs(long afterUs) {
+        long at = Math.max(restUntilUs, entryAtUs);
+        at = at <= afterUs ? reportUntilUs : at;
+        return at > afterUs ? at : Long.MAX_VALUE;
+    }
+
     /** Forgets what was learnt of the process that ran here before, and takes it as just started. */
     void renew(long nowUs) {
         coldSinceUs = nowUs;
--- a/src/main/java/passhatch/Call.java
+++ b/src/main/java/passhatch/Call.java
@@ -9,6 +9,8 @@
 final class Call {
     final Request request;
     final RequestClass kind;
+    /** Its place in the order of arrival. */
+    final long number;
     /** No answer later than this earns anything or is still listened to. */
     long endAtUs;
     /** Its expected work, as a multiple of the usual; 1 where unknown. */
@@ -32,10 +34,14 @@
     int probeRounds;
     /** The call waits for probes until then. */
     long probeUntilUs = Long.MIN_VALUE;
+    /** Its lane in the queue, below 0 while it has none; and when it is looked at there whatever happens. */
+    int lane = -1;
+    long dueAtUs;
 
-    Call(Request request, RequestClass kind, long nowUs, long usefulUs, double size) {
+    Call(Request request, RequestClass kind, long number, long nowUs, long usefulUs, double size) {
         this.request = request;
         this.kind = kind;
+        this.number = number;
         this.usefulUs = usefulUs;
         this.endAtUs = nowUs + Math.min(request.timeLeftUs(), usefulUs);
         this.arriving = request.arriving();
@@ -43,6 +49,10 @@
         this.deadlineUs = nowUs + request.timeLeftUs();
     }
 
+    boolean queued() {
+        return lane >= 0;
+    }
+
     /** The first attempt that may have run or may still run, or null. */
     Attempt mayHaveRun() {
         for (Attempt a : attempts) {
--- a/src/main/java/passhatch/Logic.java
+++ b/src/main/java/passhatch/Logic.java
@@ -112,6 +112,8 @@
     private static final int MOST_NAMED = 4096;
     /** Weight of the newest value in a running mean. */
     private static final double MEAN_WEIGHT = 0.1;
+    /** Queued calls of a class that are refused before the older ones are passed over. */
+    private static final int REFUSALS = 3;
 
     /** Which servers are looked for: all, those known to be idle, those of which nothing is known. */
     private enum Wanted { ANY, FOUND_IDLE, UNKNOWN }
@@ -133,8 +135,14 @@
     private final Set<String> returned = new HashSet<>();
     private boolean returning;
     private final Map<String, Call> calls = new HashMap<>();
-    /** Calls for which no server may be used now, oldest first. */
-    private final ArrayDeque<Call> waiting = new ArrayDeque<>();
+    private long requests;
+    /** Calls for which no server may be used now; aside, those that wait for probes. */
+    private final CallQueue queue;
+    /** Servers asked for their load, the earliest asked first; some have answered since. */
+    private final ArrayDeque<Backend> asked = new ArrayDeque<>();
+    /** When all queued calls were last looked at, and when they are next. */
+    private long lookedAtUs = Long.MIN_VALUE;
+    private long lookAtUs = Long.MIN_VALUE;
     /** Attempts in the order of their sending, to find those overdue. */
     private final ArrayDeque<Attempt> sent = new ArrayDeque<>();
     /** Share of errors among all latest answers. */
@@ -189,6 +197,7 @@
         this.settings = settings;
         this.actions = Objects.requireNonNull(actions, "actions");
         this.random = new SplittableRandom(seed);
+        this.queue = new CallQueue(settings.classes().size());
         this.sharesAtUs = new double[settings.tenants().size()];
         Arrays.fill(sharesAtUs, Long.MIN_VALUE);
         this.shortestAimUs = settings.classes().stream().mapToLong(RequestClass::aimUs).min().orElseThrow();
@@ -227,7 +236,8 @@
             askFailures = 0;
             askAtUs = Long.MAX_VALUE;
         }
-        advance(nowUs);
+        lookAtUs = nowUs;
+        advance(nowUs, null);
     }
 
     private void name(Server line) {
@@ -398,7 +408,7 @@
         long pause = ASK_AGAIN_US << Math.min(askFailures++, 6);
         long most = settings.rules().askWithinUs() > 0 ? settings.rules().askWithinUs() / 4 : pause;
         askAtUs = nowUs + (long) (Math.min(pause, most) * (0.5 + random.nextDouble()));
-        advance(nowUs);
+        advance(nowUs, null);
     }
 
     // ---- requests and their attempts
@@ -419,7 +429,7 @@
             // The aim counts from the first try, and a last try has all that is left of the client's time.
             usefulUs -= kind.deadlineUs() - request.timeLeftUs();
         }
-        Call call = new Call(request, kind, nowUs, usefulUs, size);
+        Call call = new Call(request, kind, requests++, nowUs, usefulUs, size);
         call.beyondShare = beyondShare(nowUs, request.tenant());
         calls.put(request.id(), call);
         retries = Math.min(RETRY_SAVED, retries + RETRY_EARNED);
@@ -445,7 +455,8 @@
 
     /** Sends the call to the server whose turn it is, or lets it wait for one. */
     private void dispatch(long nowUs, Call call) {
-        if (nowUs + leastUs(call) > call.endAtUs || nowUs >= call.endAtUs) {
+        queue.remove(call);
+        if (hopeless(nowUs, call)) {
             if (!call.held) {
                 // Else one slow spell could make all later calls look hopeless, with nothing learnt.
                 quickUs *= 1 - QUICK_STEP * QUICK;
@@ -456,7 +467,7 @@
         Backend found = told(nowUs) ? pick(nowUs, call, Wanted.FOUND_IDLE) : null;
         Backend s = found != null ? found : pick(nowUs, call, Wanted.ANY);
         if (found == null && asks(nowUs, call)) {
-            waiting.add(call);
+            queue.addAside(call, call.probeUntilUs);
             wake(call.probeUntilUs);
         } else if (call.beyondShare && (s == null || load(nowUs, s) > 0)) {
             giveUp(nowUs, call);
@@ -464,8 +475,9 @@
             say(nowUs, call.kind.name(), " waits: every server it may use is too crowded, rests or is cold");
             call.held = true;
             call.probeRounds = 0;
-            waiting.add(call);
-            wake(Math.min(nextReturn(nowUs), call.endAtUs - (long) leastUs(call)));
+            queue.add(call, Math.max(nowUs + 1, call.endAtUs - (long) leastUs(call)));
+            lookAtUs = lookAtUs > nowUs ? lookAtUs : nextLook(nowUs);
+            wake(Math.min(lookAtUs, call.dueAtUs));
         } else {
             send(nowUs, call, s);
         }
@@ -491,6 +503,7 @@
                 break;
             }
             s.probedAtUs = nowUs;
+            asked.add(s);
             probes--;
             sent++;
             actions.probe(s.id);
@@ -501,13 +514,11 @@
     }
 
     private boolean anyProbeOut(long nowUs) {
-        for (Backend s : servers) {
-            if (s.probedAtUs != Long.MIN_VALUE && nowUs - s.probedAtUs < OVERDUE * probeUs
-                    + settings.tickUs()) {
-                return true;
-            }
+        while (!asked.isEmpty() && (asked.peek().probedAtUs == Long.MIN_VALUE
+                || nowUs - asked.peek().probedAtUs >= OVERDUE * probeUs + settings.tickUs())) {
+            asked.poll();
         }
-        return false;
+        return !asked.isEmpty();
     }
 
     private void send(long nowUs, Call call, Backend s) {
@@ -556,7 +567,10 @@
                 expect(nowUs, a);
             }
         }
-        advance(nowUs);
+        if (queue.remove(call)) {
+            dispatch(nowUs, call);
+        }
+        advance(nowUs, null);
     }
 
     @Override
@@ -594,7 +608,7 @@
                 left--;
                 boolean fits = switch (wanted) {
                     case ANY -> usable(nowUs, call, s);
-                    case FOUND_IDLE -> s.reportUntilUs > nowUs && load(nowUs, s) == 0 && !demoted(nowUs, s);
+                    case FOUND_IDLE -> foundIdle(nowUs, s);
                     case UNKNOWN -> s.probedAtUs == Long.MIN_VALUE && s.reportUntilUs <= nowUs;
                 };
                 if (fits && (best == null || better(nowUs, s, best))) {
@@ -605,6 +619,10 @@
         return best;
     }
 
+    private boolean foundIdle(long nowUs, Backend s) {
+        return s.reportUntilUs > nowUs && load(nowUs, s) == 0 && !demoted(nowUs, s);
+    }
+
     private boolean usable(long nowUs, Call call, Backend s) {
         // Classes that may take longer must not fill the servers up for the others, unless they are worth
         // more. Those worth far more may also crowd a server further, so that under overload the room of the
@@ -661,6 +679,10 @@
         return s.reportUntilUs > nowUs ? load(nowUs, s) : Math.max(s.inFlight, (int) reportedLoad);
     }
 
+    private boolean hopeless(long nowUs, Call call) {
+        return nowUs + leastUs(call) > call.endAtUs || nowUs >= call.endAtUs;
+    }
+
     /** The least that this call can be hoped to take. */
     private double leastUs(Call call) {
         return (call.held ? callUs * HELD_MARGIN : quickUs) * call.size;
@@ -822,7 +844,7 @@
             again(nowUs, call, outcome);
         }
         forget(call);
-        advance(nowUs);
+        advance(nowUs, attempt.server);
     }
 
     /**
@@ -948,7 +970,7 @@
             call.bound = call.attempts.get(attempt);
             call.ended = true;
             cancelRest(call);
-            advance(nowUs);
+            advance(nowUs, null);
         }
     }
 
@@ -959,11 +981,12 @@
             call.ended = true;
             cancelRest(call);
             forget(call);
-            advance(nowUs);
+            advance(nowUs, null);
         }
     }
 
     private void cancelRest(Call call) {
+        queue.remove(call);
         for (int i = 0; i < call.attempts.size() && settings.limits().cancel(); i++) {
             if (call.attempts.get(i).out && call.attempts.get(i) != call.bound) {
                 actions.cancel(call.request.id(), i);
@@ -1007,7 +1030,7 @@
                 enter(nowUs, s);
                 comeBack(nowUs, s);
             }
-            advance(nowUs);
+            advance(nowUs, s);
         }
     }
 
@@ -1018,11 +1041,8 @@
 
     @Override
     public Census census(long nowUs) {
-        int open = 0;
-        for (Backend s : servers) {
-            open += s.out || s.restUntilUs > nowUs ? 0 : 1;
-        }
-        return new Census(inList.size(), inList.size() - open);
+        long open = servers.stream().filter(s -> !s.out && s.restUntilUs <= nowUs).count();
+        return new Census(inList.size(), inList.size() - (int) open);
     }
 
     // ---- servers that do not answer
@@ -1065,10 +1085,7 @@
 
     /** Whether half of the servers stay in use if one more rests: no false alarm may rest them all. */
     private boolean mostStay(long nowUs) {
-        int inUse = 0;
-        for (Backend s : servers) {
-            inUse += s.inUse(nowUs) ? 1 : 0;
-        }
+        long inUse = servers.stream().filter(s -> s.inUse(nowUs)).count();
         return (inUse - 1) * 2 >= servers.size();
     }
 
@@ -1100,7 +1117,7 @@
             s.unanswered++;
             reportedLoad -= MEAN_WEIGHT * reportedLoad;
         }
-        advance(nowUs);
+        advance(nowUs, s);
     }
 
     // ---- time
@@ -1110,7 +1127,7 @@
         if (wakeAtUs <= nowUs) {
             wakeAtUs = Long.MAX_VALUE;
         }
-        advance(nowUs);
+        advance(nowUs, null);
     }
 
     private void wake(long atUs) {
@@ -1120,23 +1137,30 @@
         }
     }
 
-    /** When the next server that rests or enters may be used. */
-    private long nextReturn(long nowUs) {
-        long next = Long.MAX_VALUE;
-        for (Backend s : servers) {
-            long at = Math.max(s.restUntilUs, s.entryAtUs);
-            if (at <= nowUs) {
-                at = s.reportUntilUs;
-            }
-            if (at > nowUs && at < next) {
-                next = at;
-            }
-        }
-        return Math.min(next, nowUs + (long) (callUs * BUSY_HOLDS) + settings.tickUs());
+    /** When the next server that rests or enters may be used, and the usual pace of looks at the latest. */
+    private long nextLook(long nowUs) {
+        return servers.stream().mapToLong(s -> s.returnUs(nowUs))
+                .reduce(nowUs + (long) (callUs * BUSY_HOLDS) + settings.tickUs(), Math::min);
+    }
+
+    /** Offers a server that changed to the queued calls. */
+    private void offer(long nowUs, Backend s) {
+        queue.offer(REFUSALS, lane -> s.inUse(nowUs) && placed(settings.classes().get(lane), s),
+                call -> mayUse(call, s), call -> s.inUse(nowUs) && usable(nowUs, call, s),
+                call -> dispatch(nowUs, call));
     }
 
-    /** Does what has become due: asks discovery, sends what waited, ends what waited too long. */
-    private void advance(long nowUs) {
+    /** Looks at all queued calls: time, a list or what is usual now may have made them usable or hopeless. */
+    private void look(long nowUs) {
+        queue.all(call -> hopeless(nowUs, call)).forEach(call -> dispatch(nowUs, call));
+        servers.stream().filter(s -> s.returnUs(lookedAtUs) <= nowUs).forEach(s -> offer(nowUs, s));
+        queue.offer(REFUSALS, lane -> true, call -> true, call -> true, call -> dispatch(nowUs, call));
+        lookedAtUs = nowUs;
+        lookAtUs = nextLook(nowUs);
+    }
+
+    /** Does what has become due, and offers the server that an event freed or changed, if any. */
+    private void advance(long nowUs, Backend changed) {
         if (askAtUs <= nowUs && !watching) {
             askAtUs = Long.MAX_VALUE;
             actions.watchServers();
@@ -1155,16 +1179,25 @@
         if (!sent.isEmpty()) {
             wake(sent.peek().overdueAtUs);
         }
-        if (!waiting.isEmpty()) {
-            // The newest first: under overload those that waited longest would mostly be late.
-            ArrayDeque<Call> held = new ArrayDeque<>(waiting);
-            waiting.clear();
-            while (!held.isEmpty()) {
-                Call call = held.pollLast();
-                if (!call.ended) {
-                    dispatch(nowUs, call);
-                }
+        if (queue.isEmpty()) {
+            return;
+        }
+        for (Call call : queue.aside()) {
+            // As long as a probe is out, only a server that is found idle is of use to them.
+            if (!told(nowUs) || !anyProbeOut(nowUs) || changed != null && foundIdle(nowUs, changed)) {
+                dispatch(nowUs, call);
             }
         }
+        if (changed != null) {
+            offer(nowUs, changed);
+            lookAtUs = Math.min(lookAtUs, changed.returnUs(nowUs));
+        }
+        if (lookAtUs <= nowUs) {
+            look(nowUs);
+        }
+        for (Call call = queue.due(nowUs); call != null; call = queue.due(nowUs)) {
+            dispatch(nowUs, call);
+        }
+        wake(Math.min(lookAtUs, queue.nextUs()));
     }
 }
--- a/src/test/java/passhatch/LogicTest.java
+++ b/src/test/java/passhatch/LogicTest.java
@@ -1374,6 +1374,134 @@
         assertFalse(new Proxy(setup()).did("anything"));
     }
 
+    /** Calls that wait are looked at when what they wait for changes. */
+    @Nested
+    class QueuedCalls {
+
+        private static final int FIRST = 4;
+        private static final int SECOND = 5;
+
+        private Proxy neverCold(RequestClass... more) {
+            Proxy.Setup setup = setup();
+            setup.coldFrom = 1;
+            setup.more = List.of(more);
+            return new Proxy(setup).with("a", "b", "c", "d");
+        }
+
+        private RequestClass kind(Effect effect, DedupGroup group, Set<Integer> zones) {
+            return new RequestClass("k", 400 * MS, 1_000 * MS, 1, 0, effect, group, 600 * MS, zones, null);
+        }
+
+        private void takeOut(Proxy p, String... servers) {
+            for (String server : servers) {
+                p.logic.takeOut(p.now, server);
+            }
+        }
+
+        @Test
+        void atEachOutcomeTheNewestGoToTheFreedServer() {
+            Proxy p = new Proxy(setup()).with("a");
+            for (int i = 0; i < 12; i++) {
+                p.serve();
+            }
+            List<String> sent = new ArrayList<>();
+            List<String> queued = new ArrayList<>();
+            for (int i = 0; i < 40; i++) {
+                String r = p.request(Proxy.SAFE);
+                (p.at(r) == null ? queued : sent).add(r);
+            }
+            for (int i = 0; i < 4; i++) {
+                p.end(sent.get(i), Outcome.OK);
+                int before = queued.size();
+                while (!queued.isEmpty() && p.at(queued.get(queued.size() - 1)) != null) {
+                    sent.add(queued.remove(queued.size() - 1));
+                }
+                assertTrue(queued.size() < before, "outcome " + i + " sent none");
+                assertTrue(queued.stream().allMatch(r -> p.at(r) == null), "outcome " + i + " sent older");
+            }
+        }
+
+        @Test
+        void eachIsAnsweredAsSoonAsItsTimeRunsShort() {
+            Proxy p = neverCold();
+            p.serve();
+            takeOut(p, "a", "b", "c", "d");
+            Map<String, Long> asked = new HashMap<>();
+            Map<String, Long> waited = new HashMap<>();
+            for (int ms = 0; ms < 1_000; ms++) {
+                if (ms % 5 == 0 && ms < 500) {
+                    asked.put(p.request(ms % 10 == 0 ? Proxy.SAFE : Proxy.UNSAFE), p.now);
+                }
+                p.pass(1);
+                p.done.stream().filter(line -> line.startsWith("refuse ") || line.startsWith("fail "))
+                        .map(line -> line.substring(line.indexOf(' ') + 1))
+                        .forEach(r -> waited.putIfAbsent(r, p.now - asked.get(r)));
+            }
+            assertEquals(asked.keySet(), waited.keySet());
+            // 400 ms of use, less 1.4 times the 50 ms that calls take.
+            assertTrue(waited.values().stream().allMatch(us -> us >= 329 * MS && us <= 332 * MS),
+                    "waited: " + waited.values());
+        }
+
+        @Test
+        void aServerThatReturnsByTimeIsUsedThen() {
+            Proxy p = new Proxy(setup()).with("a");
+            for (int i = 0; i < 2; i++) {
+                p.end(p.request(Proxy.SAFE), Outcome.CONNECT_FAILED);
+                p.pass(i == 0 ? 1_000 : 2_900);
+            }
+            String first = p.request(Proxy.SAFE);
+            String second = p.request(Proxy.SAFE);
+            p.pass(98);
+            assertNull(p.at(first));
+            p.pass(4);
+            assertEquals("a", p.at(first));
+            assertEquals("a", p.at(second));
+        }
+
+        @Test
+        void aServerPutBackIsUsedAtOnce() {
+            Proxy p = neverCold();
+            takeOut(p, "a", "b", "c", "d");
+            List<String> queued = List.of(p.request(Proxy.SAFE), p.request(Proxy.UNSAFE));
+            p.logic.putBack(p.now, "c");
+            queued.forEach(r -> assertEquals("c", p.at(r)));
+        }
+
+        /** However many newer calls are queued that it is not for. */
+        @Test
+        void aServerPutBackGoesToThoseThatMayUseIt() {
+            Proxy p = neverCold(kind(Effect.SAFE, DedupGroup.ALL, Set.of(0)),
+                    kind(Effect.SAFE, DedupGroup.ALL, Set.of(1)));
+            takeOut(p, "a", "b", "c", "d");
+            String near = p.request(FIRST);
+            List<String> far = new ArrayList<>();
+            for (int i = 0; i < 20; i++) {
+                far.add(p.request(SECOND));
+            }
+            p.logic.putBack(p.now, "a");
+            assertEquals("a", p.at(near));
+            far.forEach(r -> assertNull(p.at(r)));
+        }
+
+        @Test
+        void aQueuedRepeatGoesOnlyToItsCell() {
+            Proxy p = neverCold(kind(Effect.KEYED, DedupGroup.CELL, null));
+            takeOut(p, "b", "d");
+            Map<String, String> first = new HashMap<>();
+            for (int i = 0; i < 4; i++) {
+                String r = p.request(FIRST);
+                first.put(r, p.at(r));
+            }
+            assertEquals(Set.of("a", "c"), new HashSet<>(first.values()));
+            first.keySet().forEach(r -> p.end(r, Outcome.RESET));
+            p.logic.putBack(p.now, "b");
+            first.forEach((r, at) -> assertEquals(at.equals("a") ? "b" : "c", p.at(r)));
+            p.logic.putBack(p.now, "d");
+            first.forEach((r, at) -> assertEquals(at.equals("a") ? "b" : "d", p.at(r)));
+        }
+    }
+
     /** Servers that operators take out. */
     @Nested
     class OutByHand {
