--- a/src/main/java/passhatch/CallQueue.java
+++ b/src/main/java/passhatch/CallQueue.java
@@ -92,21 +92,28 @@
         int[] left = new int[classes];
         Call[] next = new Call[classes];
         for (int lane = 0; lane < classes; lane++) {
-            NavigableSet<Call> calls = lanes.get(lane);
             left[lane] = most;
-            next[lane] = calls.isEmpty() || !open.test(lane) ? null : calls.last();
+            next[lane] = open.test(lane) ? first(lanes.get(lane).descendingSet(), may) : null;
         }
         for (int lane = newest(next); lane >= 0; lane = newest(next)) {
             Call call = next[lane];
+            boolean taken = takes.test(call);
+            if (taken) {
+                taker.accept(call);
+            }
+            left[lane] -= taken && !call.queued() ? 0 : 1;
+            next[lane] = left[lane] > 0
+                    ? first(lanes.get(lane).headSet(call, false).descendingSet(), may) : null;
+        }
+    }
+
+    private static Call first(NavigableSet<Call> calls, Predicate<Call> may) {
+        for (Call call : calls) {
             if (may.test(call)) {
-                boolean taken = takes.test(call);
-                if (taken) {
-                    taker.accept(call);
-                }
-                left[lane] -= taken && !call.queued() ? 0 : 1;
+                return call;
             }
-            next[lane] = left[lane] > 0 ? lanes.get(lane).lower(call) : null;
         }
+        return null;
     }
 
     private static int newest(Call[] calls) {
