--- a/src/main/java/passhatch/proxy/ClientServer.java
+++ b/src/main/java/passhatch/proxy/ClientServer.java
@@ -138,10 +138,25 @@
         return connections.stream().anyMatch(ClientConnection::hasUnsent);
     }
 
-    /** Closes the connections on which nothing is out, as clients expect between requests. */
+    /**
+     * Whether a first request may be on its way: behind a connection that stands in the accept queue, or on
+     * one that has only just come up.
+     */
+    boolean hasFresh() {
+        long now = clock.nowUs();
+        return listener != null && listener.isOpen() || connections.stream().anyMatch(c -> isFresh(c, now));
+    }
+
+    private static boolean isFresh(ClientConnection connection, long nowUs) {
+        return connection.isIdle() && !connection.hasAsked()
+                && nowUs - connection.idleSinceUs() < FIRST_BYTES_US;
+    }
+
+    /** Closes the connections on which nothing is out or about to be, as clients expect between requests. */
     void closeIdle() {
-        List.copyOf(connections).stream().filter(ClientConnection::isIdle)
-                .forEach(ClientConnection::close);
+        long now = clock.nowUs();
+        List.copyOf(connections).stream().filter(c -> c.isIdle() && !isFresh(c, now))
+                .forEach(ClientConnection::closeIfIdle);
     }
 
     private void beat() {
@@ -188,6 +203,9 @@
             if (spared == null) {
                 break;
             }
+            if (!spared.lingers() && !spared.isStillIdle()) {
+                continue;
+            }
             log.line(Kind.EVICTION, connections.size()
                     + " clients are connected: one that is idle is let go");
             connections.remove(spared);
@@ -199,12 +217,16 @@
     }
 
     /**
-     * First those that never sent a request, the oldest first, as soon as they had the time to; then those
-     * that have been idle longest, but none that may be about to send its next.
+     * First those that are about to be closed, and those that never sent a request, the oldest first, as soon
+     * as they had the time to; then those that have been idle longest, but none that may be about to send its
+     * next.
      */
     private ClientConnection spared(long nowUs) {
         ClientConnection longestIdle = null;
         for (ClientConnection c : connections) {
+            if (c.lingers()) {
+                return c;
+            }
             if (!c.isIdle()) {
                 continue;
             }
@@ -247,7 +269,7 @@
     }
 
     boolean isReady() {
-        return proxy.ready() && drain.takesClients();
+        return proxy.readiness().isReady() && drain.takesClients();
     }
 
     /**
