--- a/src/test/java/passhatch/LogicTest.java
+++ b/src/test/java/passhatch/LogicTest.java
@@ -223,7 +223,7 @@
             }
         }
 
-        /** Two in a row come by chance, every few seconds where servers break, or are late for, one in eight. */
+        /** Two in a row come by chance every few seconds where one in eight breaks or is late. */
         @ParameterizedTest
         @CsvSource({"RESET, 0.03", "CONNECT_FAILED, 0.2"})
         void chanceAloneRestsHardlyAnyServerWhereAllBreakSomeConnections(Outcome broken, double most) {
