--- a/src/test/java/passhatch/proxy/BackendPoolTest.java
+++ b/src/test/java/passhatch/proxy/BackendPoolTest.java
@@ -195,7 +195,8 @@
 
     /** It is taken in the turn in which its end, or a second answer, has come in unread. */
     @ParameterizedTest
-    @ValueSource(strings = {"close", "reset", "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nsecond"})
+    @ValueSource(strings = {"close", "reset", "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nsecond",
+        "HTTP/1.1 2", "\n"})
     void aKeptConnectionIsLookedAtBeforeItIsUsed(String event) throws Exception {
         CountDownLatch taken = new CountDownLatch(1);
         CountDownLatch happened = new CountDownLatch(1);
@@ -221,6 +222,30 @@
         }
     }
 
+    /** The same in the turn in which it is closed as idle: the next call has a connection of its own. */
+    @ParameterizedTest
+    @ValueSource(strings = {"HTTP/1.1 2", "\n"})
+    void aKeptConnectionMaySpeakInTheTurnOfItsClose(String half) throws Exception {
+        CountDownLatch taken = new CountDownLatch(1);
+        CountDownLatch happened = new CountDownLatch(1);
+        try (ScriptedServer backend = new ScriptedServer((connection, request) -> {
+            connection.answer("200 OK", "own");
+            taken.await();
+            connection.write(half);
+            happened.countDown();
+        })) {
+            assertEquals("own", body(backend.address()));
+            loop.submit(() -> {
+                taken.countDown();
+                assertTrue(happened.await(Http.PATIENCE_MS, TimeUnit.MILLISECONDS));
+                pool.closeIdle(new Target("s", backend.address()));
+                return pool.send(new Target("s", backend.address()), outgoing(), results::add);
+            }).get();
+            assertEquals("own", new String(next().body(), StandardCharsets.UTF_8));
+            assertEquals(2, backend.connections.get());
+        }
+    }
+
     /** Another backend at the address of one that has gone starts on connections of its own. */
     @Test
     void anotherBackendAtTheAddressGetsItsOwnConnections() throws Exception {
--- /dev/null
+++ b/src/test/java/passhatch/proxy/DescriptorsTest.java
@@ -0,0 +1,104 @@
+package passhatch.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** What is kept back of the descriptors that a process may hold; the system holds it to them here. */
+@Timeout(60)
+final class DescriptorsTest {
+
+    private static final int MOST = 256;
+
+    @TempDir
+    Path folder;
+
+    /**
+     * Discovery is down while idle clients hold all that clients may. At its return the watch is opened, and
+     * backends that were not known before are reached, many at once.
+     */
+    @Test
+    void theWatchAndBackendsAreReachedWhereClientsHoldAllTheyMay() throws Exception {
+        AtomicBoolean down = new AtomicBoolean();
+        CountDownLatch outage = new CountDownLatch(1);
+        CountDownLatch all = new CountDownLatch(20);
+        try (Rig rig = new Rig(folder)) {
+            List<String> entries = new ArrayList<>();
+            for (int i = 0; i < 20; i++) {
+                entries.add(Rig.entry("s" + i, rig.backend((connection, request) -> {
+                    all.countDown();
+                    all.await();
+                    connection.answer("200 OK", "x");
+                }).address(), "SERVING"));
+            }
+            ScriptedServer discovery = rig.backend((connection, request) -> {
+                if (down.get()) {
+                    connection.answer("503 Down", "");
+                    return;
+                }
+                boolean before = outage.getCount() > 0;
+                String text = (before ? Rig.list(8, true)
+                        : Rig.list(9, true, entries.toArray(new String[0]))) + "\n";
+                connection.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                        + Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
+                outage.await();
+                if (before) {
+                    connection.reset();
+                }
+            });
+            rig.sockets(MOST);
+            try (ProxyProcess proxy = new ProxyProcess(environment(rig, discovery),
+                    ProxyProcess.freeAddress(), MOST)) {
+                proxy.awaitReady();
+                List<Http> asked = new ArrayList<>();
+                for (int i = 0; i < 60; i++) {
+                    asked.add(ask(Http.to(proxy.address)));
+                }
+                List<Http> silent = new ArrayList<>();
+                for (int i = 0; i < MOST; i++) {
+                    silent.add(Http.to(proxy.address));
+                }
+                down.set(true);
+                outage.countDown();
+                proxy.awaitLog("discovery answered 503");
+                down.set(false);
+                for (int i = 0; i < 20; i++) {
+                    asked.get(i).write(Rig.get("r" + i, "X-Deadline: 9000m\r\n"));
+                }
+                for (int i = 0; i < 20; i++) {
+                    assertEquals(200, asked.get(i).read().status());
+                }
+                Path fds = Path.of("/proc", String.valueOf(proxy.process.pid()), "fd");
+                try (Stream<Path> held = Files.list(fds)) {
+                    assertTrue(held.count() < MOST);
+                }
+                assertEquals(MOST, silent.size());
+            }
+        }
+    }
+
+    private static Map<String, String> environment(Rig rig, ScriptedServer discovery)
+            throws Exception {
+        Map<String, String> environment = new HashMap<>(rig.environment());
+        environment.put("PROXY_DISCOVERY", "127.0.0.1:" + discovery.address().getPort());
+        return environment;
+    }
+
+    private static Http ask(Http client) throws Exception {
+        client.write("GET /ready HTTP/1.1\r\nHost: p\r\n\r\n");
+        assertEquals(200, client.read().status());
+        return client;
+    }
+}
--- a/src/test/java/passhatch/proxy/ProxyProcess.java
+++ b/src/test/java/passhatch/proxy/ProxyProcess.java
@@ -22,6 +22,10 @@
     /** Starts it with the environment, on a free port, and waits until it is ready. */
     ProxyProcess(Map<String, String> environment) throws IOException, InterruptedException {
         this(environment, freeAddress());
+        awaitReady();
+    }
+
+    void awaitReady() throws IOException, InterruptedException {
         while (!listens()) {
             Thread.sleep(10);
         }
@@ -30,12 +34,19 @@
 
     /** Starts it at an address that another may have, and waits for nothing. */
     ProxyProcess(Map<String, String> environment, InetSocketAddress address) throws IOException {
+        this(environment, address, 0);
+    }
+
+    /** The same, with no more than so many descriptors; 0 for as many as there may be. */
+    ProxyProcess(Map<String, String> environment, InetSocketAddress address, int descriptors)
+            throws IOException {
         this.address = address;
         Map<String, String> env = new HashMap<>(environment);
         env.put("PROXY_LISTEN", "127.0.0.1:" + address.getPort());
         String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
-        ProcessBuilder builder = new ProcessBuilder(java, "-cp", System.getProperty("java.class.path"),
-                "passhatch.adapter.Main", "serve");
+        ProcessBuilder builder = new ProcessBuilder("sh", "-c",
+                (descriptors == 0 ? "" : "ulimit -n " + descriptors + "; ") + "exec \"$@\"", "sh",
+                java, "-cp", System.getProperty("java.class.path"), "passhatch.adapter.Main", "serve");
         builder.environment().putAll(env);
         process = builder.start();
         log = process.errorReader(StandardCharsets.UTF_8);
--- a/src/test/java/passhatch/proxy/ProxyServerTest.java
+++ b/src/test/java/passhatch/proxy/ProxyServerTest.java
@@ -322,6 +322,22 @@
         assertTrue(left.take() < 4_800_000);
     }
 
+    /** Its time counts from its last byte, however late in it that comes. */
+    @Test
+    void aRequestInPiecesHasItsTimeFromItsLastByte() throws Exception {
+        ScriptedServer backend = rig.backend((connection, request) -> connection.answer("200 OK", "x"));
+        rig.standStill().start(up("s", backend));
+        Http client = rig.client();
+        String request = Rig.post("/move", "r", "X-Deadline: 1000m\r\n");
+        for (int at = 0; at < request.length(); at += 40) {
+            client.write(request.substring(at, Math.min(at + 40, request.length())));
+            // Another's call is answered some turns of the loop later.
+            assertEquals(200, rig.call("GET /ready HTTP/1.1\r\nHost: p\r\n\r\n").status());
+            rig.pass(300);
+        }
+        assertEquals("x", client.read().text());
+    }
+
     @Test
     void refusesWithRetryAfterWhereNothingRan() throws Exception {
         ScriptedServer full = rig.backend((connection, request) -> connection.write(
