--- a/src/main/java/passhatch/proxy/Discovery.java
+++ b/src/main/java/passhatch/proxy/Discovery.java
@@ -47,6 +47,11 @@
     /** A pause within a list that is longer than this means that its rest will not come. */
     private static final long REST_MS = 500;
     private static final int CONNECT_TIMEOUT_MS = 1_000;
+    /**
+     * Where the module does the asking, a call is made so long after one that failed, if it has made none: a
+     * change counts as told 6 s after discovery could be reached, however long it was down before.
+     */
+    private static final long LONGEST_ASK_PAUSE_MS = 1_000;
     /** What is longer than this is no list of backends. */
     private static final int LONGEST_OBJECT = 1 << 22;
 
@@ -86,9 +91,9 @@
         this.whole = index == 0;
     }
 
-    /** Starts a watch, once; one that ends is taken up again unless the module does the asking. */
+    /** Starts a watch unless there is one; one that ends is taken up again. */
     void watch() {
-        if (stopped) {
+        if (stopped || current != null && current.channel.isOpen()) {
             return;
         }
         boolean fetch = whole;
@@ -145,7 +150,7 @@
         }
         current = null;
         if (onRequest) {
-            listener.failed();
+            askAgain();
         } else {
             watch();
         }
@@ -176,14 +181,19 @@
         }
         log.line(Kind.DISCOVERY, "discovery: the watch from index " + index + " ended");
         if (onRequest) {
-            // The module hears of it and says when to ask again.
-            listener.failed();
+            askAgain();
             return;
         }
         next = loop.schedule(this::watch, pauseMs, TimeUnit.MILLISECONDS);
         pauseMs = Math.min(LONGEST_PAUSE_MS, pauseMs * 2);
     }
 
+    /** The module hears of it and says when to ask again, within a limit. */
+    private void askAgain() {
+        next = loop.schedule(this::watch, LONGEST_ASK_PAUSE_MS, TimeUnit.MILLISECONDS);
+        listener.failed();
+    }
+
     /** One answer of discovery: objects of JSON one after the other, or one whole list. */
     private final class Watch extends SimpleChannelInboundHandler<HttpObject>
             implements ObjectSplitter.Listener {
--- a/src/test/java/passhatch/proxy/DiscoveryTest.java
+++ b/src/test/java/passhatch/proxy/DiscoveryTest.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -201,6 +202,37 @@
         }
     }
 
+    /**
+     * Where it is asked: the module asks twice at once, and then leaves off, as where its pauses have grown
+     * in a long outage. One call is made at a time, and after each that failed another within a second or so.
+     */
+    @Test
+    void afterAFailedCallAnotherIsMadeInTimeWhateverTheModuleAsks() throws Exception {
+        rig.replace("\"pushed\"", "\"on_request\"")
+                .replace("\"drainGraceUs\"", "\"askEveryUs\":10000000,\"drainGraceUs\"")
+                .module((settings, seed, actions) -> ScriptedModule.of((method, args) -> {
+                    if (args[args.length - 1] instanceof List<?>) {
+                        actions.watchServers();
+                        actions.watchServers();
+                    }
+                }));
+        ScriptedServer backend = saying("a");
+        AtomicInteger calls = new AtomicInteger();
+        try (ScriptedServer discovery = new ScriptedServer((connection, request) -> {
+            if (calls.incrementAndGet() <= 3) {
+                connection.answer("503 Down", "");
+            } else {
+                String list = Rig.list(8, true, up("s", backend)) + "\n";
+                connection.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                        + Integer.toHexString(list.length()) + "\r\n" + list + "\r\n");
+            }
+        })) {
+            rig.startAt(discovery.address());
+            assertEquals(4, calls.get());
+            assertEquals(4, discovery.connections.get(), "one call at a time");
+        }
+    }
+
     /** What is written counts as told, so this cannot wait for the 4.5 s that a silent watch is given. */
     @Test
     void aWatchThatBreaksOffWithinAListIsOpenedAnewAtOnce() throws Exception {
