--- a/src/main/java/passhatch/proxy/HangUpSignal.java
+++ b/src/main/java/passhatch/proxy/HangUpSignal.java
@@ -13,7 +13,9 @@
     private HangUpSignal() { }
 
     /**
-     * From now on runs the action at each SIGHUP, on a thread of the JVM's.
+     * From now on runs the action at each SIGHUP, on a thread of the JVM's. A JVM that was started with the
+     * signal ignored, as under nohup, leaves it so without an error and never calls the action; there is no
+     * undoing that in the process, so the command that starts it sets the signal back.
      *
      * @return false where the signal cannot be had: then it keeps its effect
      */
@@ -25,10 +27,10 @@
                 action.run();
                 return null;
             };
-            signal.getMethod("handle", signal, handler).invoke(null,
+            Object before = signal.getMethod("handle", signal, handler).invoke(null,
                     signal.getConstructor(String.class).newInstance("HUP"),
                     Proxy.newProxyInstance(handler.getClassLoader(), new Class<?>[] {handler}, run));
-            return true;
+            return before != handler.getField("SIG_IGN").get(null);
         } catch (ReflectiveOperationException none) {
             return false;
         }
--- a/src/main/java/passhatch/proxy/ProxyServer.java
+++ b/src/main/java/passhatch/proxy/ProxyServer.java
@@ -81,7 +81,7 @@
         // followed as soon as it is.
         CompletableFuture<ProxyServer> started = new CompletableFuture<>();
         if (!HangUpSignal.onEach(() -> started.thenAccept(s -> s.reload(env)))) {
-            err.println("passhatch: SIGHUP cannot be handled here and ends the process");
+            err.println("passhatch: SIGHUP cannot be handled here: it is ignored, or ends the process");
         }
         NettyDefaults.set();
         ProxyServer server;
--- a/src/test/java/passhatch/proxy/ProxyProcess.java
+++ b/src/test/java/passhatch/proxy/ProxyProcess.java
@@ -7,6 +7,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.HashMap;
 import java.util.Map;
@@ -21,7 +22,12 @@
 
     /** Starts it with the environment, on a free port, and waits until it is ready. */
     ProxyProcess(Map<String, String> environment) throws IOException, InterruptedException {
-        this(environment, freeAddress());
+        this(environment, "");
+    }
+
+    /** The same from a shell that has run something before. */
+    ProxyProcess(Map<String, String> environment, String before) throws IOException, InterruptedException {
+        this(environment, freeAddress(), before);
         while (!listens()) {
             Thread.sleep(10);
         }
@@ -30,17 +36,29 @@
 
     /** Starts it at an address that another may have, and waits for nothing. */
     ProxyProcess(Map<String, String> environment, InetSocketAddress address) throws IOException {
+        this(environment, address, "");
+    }
+
+    private ProxyProcess(Map<String, String> environment, InetSocketAddress address, String before)
+            throws IOException {
         this.address = address;
         Map<String, String> env = new HashMap<>(environment);
         env.put("PROXY_LISTEN", "127.0.0.1:" + address.getPort());
         String java = Path.of(System.getProperty("java.home"), "bin", "java").toString();
-        ProcessBuilder builder = new ProcessBuilder(java, "-cp", System.getProperty("java.class.path"),
-                "passhatch.adapter.Main", "serve");
+        ProcessBuilder builder = new ProcessBuilder("sh", "-c", before + launcher() + "\"$@\"", "sh", java,
+                "-cp", System.getProperty("java.class.path"), "passhatch.adapter.Main", "serve");
         builder.environment().putAll(env);
         process = builder.start();
         log = process.errorReader(StandardCharsets.UTF_8);
     }
 
+    /** What the command that is used in service has before its java. */
+    private static String launcher() throws IOException {
+        String run = Files.readAllLines(Path.of("deploy/balancer.toml")).stream()
+                .filter(l -> l.startsWith("run = ")).findFirst().orElseThrow();
+        return run.substring(run.indexOf('"') + 1, run.indexOf("java "));
+    }
+
     static InetSocketAddress freeAddress() throws IOException {
         try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             return (InetSocketAddress) free.getLocalSocketAddress();
@@ -60,10 +78,15 @@
     }
 
     /** Waits until the log has a line with the text. */
-    void awaitLog(String text) throws IOException {
-        for (String line = log.readLine(); !line.contains(text); line = log.readLine()) {
-            if (!process.isAlive()) {
-                throw new AssertionError("the process ended: " + line);
+    void awaitLog(String text) throws IOException, InterruptedException {
+        long end = System.nanoTime() + Http.PATIENCE_MS * 1_000_000L;
+        for (String line = ""; !line.contains(text);) {
+            if (log.ready()) {
+                line = log.readLine();
+            } else if (!process.isAlive() || System.nanoTime() > end) {
+                throw new AssertionError("no line '" + text + "'; the last: " + line);
+            } else {
+                Thread.sleep(5);
             }
         }
     }
--- a/src/test/java/passhatch/proxy/ReloadTest.java
+++ b/src/test/java/passhatch/proxy/ReloadTest.java
@@ -15,6 +15,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** A configuration that is replaced while the proxy runs. */
 @Timeout(60)
@@ -61,13 +63,14 @@
         }
     }
 
-    /** SIGHUP would end a JVM that does not handle it. */
-    @Test
-    void sighupMovesTheWatchAndNeverEndsTheProcess() throws Exception {
+    /** SIGHUP would end a JVM that does not handle it, and be lost on one started with it ignored. */
+    @ParameterizedTest
+    @ValueSource(strings = {"", "trap '' HUP TERM; "})
+    void sighupMovesTheWatchAndNeverEndsTheProcess(String before) throws Exception {
         ScriptedServer a = saying("a");
         rig.lines.add(Rig.list(8, true, up("s", a)));
         Map<String, String> env = rig.environment();
-        try (ProxyProcess proxy = new ProxyProcess(env)) {
+        try (ProxyProcess proxy = new ProxyProcess(env, before)) {
             Files.writeString(Path.of(env.get("PROXY_CONFIG")), "{\"seed\":");
             proxy.signal("HUP");
             proxy.awaitLog("configuration not taken over");
