--- a/src/test/java/passhatch/proxy/ProxyProcess.java
+++ b/src/test/java/passhatch/proxy/ProxyProcess.java
@@ -28,6 +28,10 @@
     /** The same from a shell that has run something before. */
     ProxyProcess(Map<String, String> environment, String before) throws IOException, InterruptedException {
         this(environment, freeAddress(), before);
+        awaitReady();
+    }
+
+    void awaitReady() throws IOException, InterruptedException {
         while (!listens()) {
             Thread.sleep(10);
         }
@@ -39,6 +43,12 @@
         this(environment, address, "");
     }
 
+    /** The same, with no more than so many descriptors. */
+    ProxyProcess(Map<String, String> environment, InetSocketAddress address, int descriptors)
+            throws IOException {
+        this(environment, address, "ulimit -n " + descriptors + "; ");
+    }
+
     private ProxyProcess(Map<String, String> environment, InetSocketAddress address, String before)
             throws IOException {
         this.address = address;
