--- a/src/test/java/passhatch/proxy/ReloadTest.java
+++ b/src/test/java/passhatch/proxy/ReloadTest.java
@@ -17,6 +17,7 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import passhatch.Balancer;
 
 /** A configuration that is replaced while the proxy runs. */
 @Timeout(60)
@@ -115,6 +116,22 @@
         awaitServedBy(rig.proxy().address(), "b");
     }
 
+    /** A module that asks by itself takes each list for a sign that it watches: it would never ask there. */
+    @Test
+    void aListFromTheOldAddressDoesNotPassForAWatchOfTheNewOne() throws Exception {
+        rig.replace("\"discovery\":\"pushed\"", "\"discovery\":\"on_request\"")
+                .replace("\"coldFrom\":0.4", "\"coldFrom\":0.4,\"askEveryUs\":9000000");
+        rig.module((settings, seed, actions) -> ScriptedModule.of((name, args) -> {
+            if (name.equals("serversChanged") && args[1] == Balancer.ListKind.REMEMBERED) {
+                actions.watchServers();
+            }
+        }));
+        rig.start(up("s", saying("a")));
+        rig.proxy().reload(rig.discoveryIn(at(other.discovery().address())));
+        rig.lines.add(Rig.list(9, false));
+        assertEquals("GET /v1/endpoints HTTP/1.1", other.discovery().next().start());
+    }
+
     @Test
     void theListStaysWhileTheNewAddressIsDown() throws Exception {
         rig.start(up("s", saying("a")));
