--- a/src/main/java/passhatch/Backend.java
+++ b/src/main/java/passhatch/Backend.java
@@ -28,7 +28,11 @@
      * Below all times, in random order, while never used.
      */
     long turnAtUs;
+    /** Failed or broken connections in a row, and rests for them. */
     int failures;
+    int failureRests;
+    /** Share of those among all its outcomes. */
+    double broken;
     /** When an outcome last showed that a connection stands. */
     long reachedUs = Long.MIN_VALUE;
     /** Share of errors among its latest answers, and rests for it with no recovery between. */
@@ -67,6 +71,8 @@
     void renew(long nowUs) {
         coldSinceUs = nowUs;
         failures = 0;
+        failureRests = 0;
+        broken = 0;
         errors = 0;
         errorRests = 0;
         silences = 0;
--- a/src/main/java/passhatch/Logic.java
+++ b/src/main/java/passhatch/Logic.java
@@ -24,6 +24,8 @@
 
     /** Failures in a row after which a server rests: one may be chance, the second confirms it. */
     private static final int MAX_FAILS = 2;
+    /** A streak of failures that comes by chance less often than this tells that the server is down. */
+    private static final double CHANCE_STREAK = 0.001;
     /** How long a server rests: a few tries a minute do no harm, and a restart takes some seconds. */
     private static final long FAIL_TIMEOUT_US = 3_000_000;
     /** Further attempts earned by each request, so that retries add a tenth of load at most for long. */
@@ -879,7 +881,7 @@
      * Keeps the tally of failures. A connection that breaks had come up, so the server may well be alive: it
      * is demoted, but rests only once a connect to it fails too. Where a server breaks far more of them than
      * the others do, it rests as one that errs: breaks that all show alike come from the way there, and were
-     * they to rest servers, none would be left.
+     * they to rest servers, none would be left. So it is with connections that come up late at all of them.
      */
     private void judge(long nowUs, Backend s, Outcome outcome) {
         if (outcome == Outcome.OK || outcome == Outcome.ERROR || outcome == Outcome.RESET) {
@@ -887,22 +889,33 @@
         }
         boolean failed = outcome == Outcome.CONNECT_FAILED;
         cut += ERROR_WEIGHT * ((failed ? 1 : 0) - cut);
-        s.reachedUs = failed || outcome == Outcome.RESET ? Long.MIN_VALUE : nowUs;
+        boolean broken = failed || outcome == Outcome.RESET;
+        s.broken += MEAN_WEIGHT * ((broken ? 1 : 0) - s.broken);
+        s.reachedUs = broken ? Long.MIN_VALUE : nowUs;
         if (outcome == Outcome.OK) {
             s.failures = 0;
+            s.failureRests = 0;
             s.silences = 0;
             s.demotedUntilUs = Long.MIN_VALUE;
-        } else if (outcome == Outcome.CONNECT_FAILED || outcome == Outcome.RESET) {
+        } else if (broken) {
             s.failures++;
             s.demotedUntilUs = nowUs + FAIL_TIMEOUT_US;
-            if (failed && s.failures >= MAX_FAILS) {
-                int doublings = Math.min(s.failures - MAX_FAILS, MOST_DOUBLINGS);
-                s.restUntilUs = nowUs + (FAIL_TIMEOUT_US << doublings);
+            if (failed && s.failures >= MAX_FAILS && Math.pow(usuallyBroken(s), s.failures) < CHANCE_STREAK) {
+                s.restUntilUs = nowUs + (FAIL_TIMEOUT_US << Math.min(s.failureRests++, MOST_DOUBLINGS));
                 say(nowUs, s.id, " rests: connections to it fail");
             }
         }
     }
 
+    /**
+     * The share of failed or broken connections at the other servers. Of these only the ones count that the
+     * latest call reached: where many are down at once, it must not pass for what is usual.
+     */
+    private double usuallyBroken(Backend s) {
+        return servers.stream().filter(other -> other != s && other.reachedUs != Long.MIN_VALUE)
+                .mapToDouble(other -> other.broken).average().orElse(0);
+    }
+
     /** After an attempt that brought no answer: another server if that is allowed and can be afforded. */
     private void again(long nowUs, Call call, Outcome outcome) {
         double price = outcome.provesNotRun ? 0 : 1;
