--- a/lab/src/main/java/passhatch/lab/Lab.java
+++ b/lab/src/main/java/passhatch/lab/Lab.java
@@ -6,7 +6,9 @@
 /** The laboratory's command line: scale tests of the module, of a fleet and of the control path. */
 @Command(name = "lab", mixinStandardHelpOptions = true, version = "passhatch-lab 0.1.0",
         description = "Measures the proxy at the size it is planned for, with its own code.",
-        subcommands = {})
+        subcommands = {
+            ModuleCommand.class,
+        })
 public final class Lab {
 
     private Lab() { }
--- /dev/null
+++ b/lab/src/main/java/passhatch/lab/NoActions.java
@@ -0,0 +1,36 @@
+package passhatch.lab;
+
+import passhatch.Balancer.Actions;
+
+/** Takes a module's actions and does nothing but keep the server of the latest send. */
+class NoActions implements Actions {
+
+    /** Where the latest send went. */
+    String server;
+
+    @Override
+    public void send(String request, String to, long timeoutUs) {
+        server = to;
+    }
+
+    @Override
+    public void refuse(String request, long retryAfterUs) { }
+
+    @Override
+    public void fail(String request) { }
+
+    @Override
+    public void cancel(String request, int attempt) { }
+
+    @Override
+    public void probe(String to) { }
+
+    @Override
+    public void wakeAt(long atUs) { }
+
+    @Override
+    public void watchServers() { }
+
+    @Override
+    public void log(String text) { }
+}
--- /dev/null
+++ b/lab/src/main/java/passhatch/lab/Sites.java
@@ -0,0 +1,74 @@
+package passhatch.lab;
+
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+import passhatch.Balancer.DedupGroup;
+import passhatch.Balancer.Effect;
+import passhatch.Balancer.Limits;
+import passhatch.Balancer.RequestClass;
+import passhatch.Balancer.Rules;
+import passhatch.Balancer.Server;
+import passhatch.Balancer.ServerStatus;
+import passhatch.Balancer.Settings;
+import passhatch.SettingsBuilder;
+
+/**
+ * The deployment that is measured: settings like those of a site in service (no probes, one call on a
+ * connection, 3 attempts) with one class of requests, and lists of servers.
+ */
+final class Sites {
+
+    static final int ZONES = 3;
+    /** How long clients wait. Longer than any queue of a calm server, so that time-outs mean trouble. */
+    static final long DEADLINE_US = 2_000_000;
+    static final Rules RULES = new Rules(2_500_000, 0, 0.32, 8_600_000, 3, 3_000_000);
+
+    private Sites() { }
+
+    /** The settings of instance {@code copy}, one of {@code copies} that send to the same servers. */
+    static Settings settings(int copies, int copy) {
+        return new SettingsBuilder()
+                .requestClass(new RequestClass(
+                        "read", 1_000_000, DEADLINE_US, 1, 0.5, Effect.SAFE, DedupGroup.ALL, 0))
+                .limits(new Limits(3, true, false, 1_000_000, 1, 30_000_000, true))
+                .rules(RULES)
+                .copies(copies, copy)
+                .zone(copy % ZONES)
+                .build();
+    }
+
+    /** Warm servers with names drawn from the seed, their zones in turn. */
+    static List<Server> servers(int count, long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        Set<String> names = new LinkedHashSet<>();
+        while (names.size() < count) {
+            names.add("10." + random.nextInt(256) + "." + random.nextInt(256) + "." + random.nextInt(1, 255)
+                    + ":" + random.nextInt(1024, 65536));
+        }
+        List<Server> list = new ArrayList<>(count);
+        for (String name : names) {
+            list.add(new Server(name, 0, list.size() % ZONES, list.size(), ServerStatus.UP));
+        }
+        return List.copyOf(list);
+    }
+
+    /** The same server with another status, its process started then. */
+    static Server with(Server server, ServerStatus status, long startedAtUs) {
+        return new Server(server.id(), startedAtUs, server.zone(), server.group(), status);
+    }
+
+    /** The list in another order. */
+    static List<Server> shuffled(List<Server> list, long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        List<Server> mixed = new ArrayList<>(list);
+        for (int i = mixed.size() - 1; i > 0; i--) {
+            int other = random.nextInt(i + 1);
+            Server moved = mixed.set(other, mixed.get(i));
+            mixed.set(i, moved);
+        }
+        return mixed;
+    }
+}
