--- /dev/null
+++ b/lab/src/main/java/passhatch/lab/AllCommand.java
@@ -0,0 +1,31 @@
+package passhatch.lab;
+
+import java.util.List;
+import java.util.concurrent.Callable;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+
+/** Runs every part with its defaults, one after the other, into one table. */
+@Command(name = "all", mixinStandardHelpOptions = true,
+        description = "All scale tests at their full sizes, into one table.")
+final class AllCommand implements Callable<Integer> {
+
+    @Mixin
+    private RunOptions options;
+
+    @Override
+    public Integer call() throws Exception {
+        Results results = options.results("scale");
+        Progress progress = new Progress();
+        List<Part> parts = List.of(
+                new ModuleCommand(),
+                new FleetCommand());
+        for (Part part : parts) {
+            CommandLine.populateCommand(part);
+            part.measure(options, results, progress);
+        }
+        progress.say("done");
+        return 0;
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/passhatch/lab/EventLoop.java
@@ -0,0 +1,42 @@
+package passhatch.lab;
+
+import java.util.PriorityQueue;
+
+/** Simulated time, in microseconds: events run in the order of their times, equal ones as they were added. */
+final class EventLoop {
+
+    private record Event(long atUs, long number, Runnable what) implements Comparable<Event> {
+        @Override
+        public int compareTo(Event other) {
+            int byTime = Long.compare(atUs, other.atUs);
+            return byTime != 0 ? byTime : Long.compare(number, other.number);
+        }
+    }
+
+    private final PriorityQueue<Event> events = new PriorityQueue<>();
+    private long nowUs;
+    private long added;
+
+    EventLoop(long startUs) {
+        nowUs = startUs;
+    }
+
+    long nowUs() {
+        return nowUs;
+    }
+
+    /** Runs something at that time; now, after what runs, if it has passed. */
+    void at(long atUs, Runnable what) {
+        events.add(new Event(Math.max(atUs, nowUs), added++, what));
+    }
+
+    /** Runs all events up to that time. */
+    void runUntil(long untilUs) {
+        while (!events.isEmpty() && events.peek().atUs() <= untilUs) {
+            Event next = events.poll();
+            nowUs = next.atUs();
+            next.what().run();
+        }
+        nowUs = untilUs;
+    }
+}
--- a/lab/src/main/java/passhatch/lab/Lab.java
+++ b/lab/src/main/java/passhatch/lab/Lab.java
@@ -7,11 +7,13 @@
 @Command(name = "lab", mixinStandardHelpOptions = true, version = "passhatch-lab 0.1.0",
         description = "Measures the proxy at the size it is planned for, with its own code.",
         subcommands = {
+            AllCommand.class,
             ModuleCommand.class,
+            FleetCommand.class,
         })
 public final class Lab {
 
-    private Lab() { }
+    Lab() { }
 
     public static void main(String[] args) {
         System.exit(new CommandLine(new Lab()).execute(args));
--- a/lab/src/main/java/passhatch/lab/ModuleCommand.java
+++ b/lab/src/main/java/passhatch/lab/ModuleCommand.java
@@ -20,7 +20,7 @@
 /** Measures what events cost one instance of the module, each figure in forks with the service's JIT. */
 @Command(name = "module", mixinStandardHelpOptions = true,
         description = "The module's costs by servers and copies: decision, change, lists, bytes a server.")
-final class ModuleCommand implements Callable<Integer> {
+final class ModuleCommand implements Callable<Integer>, Part {
 
     private static final int FORKS = 2;
 
@@ -37,11 +37,12 @@
 
     @Override
     public Integer call() throws RunnerException {
-        measure(options.results("module"), new Progress());
+        measure(options, options.results("module"), new Progress());
         return 0;
     }
 
-    void measure(Results results, Progress progress) throws RunnerException {
+    @Override
+    public void measure(RunOptions run, Results results, Progress progress) throws RunnerException {
         results.note("Sizes are copies x servers. Times: JMH, " + FORKS + " forks with "
                 + "-XX:TieredStopAtLevel=1 -XX:+UseSerialGC, warmed up; runs are iterations over all forks. "
                 + "Cold is a fork's first call, warm the second half of its calls. "
@@ -56,9 +57,8 @@
                 for (RunResult result : new Runner(first(s, c).build()).run()) {
                     addFirst(results, size, result);
                 }
-                long seed = options.seed;
                 results.add("retained heap a server", size, "bytes", IntStream.range(0, s > 3000 ? 1 : 2)
-                        .mapToDouble(i -> RetainedHeap.bytesPerServer(s, c, seed + i)).toArray());
+                        .mapToDouble(i -> RetainedHeap.bytesPerServer(s, c, run.seed + i)).toArray());
             }
         }
     }
