--- a/lab/src/main/java/passhatch/lab/FleetCommand.java
+++ b/lab/src/main/java/passhatch/lab/FleetCommand.java
@@ -82,6 +82,7 @@
             List<Move> moves = runs.stream().flatMap(r -> r.moves(change).stream()).toList();
             results.add(name + "copies that use it", at, "", each(moves, Move::users));
             results.add(name + "new pairings", at, "", each(moves, Move::fresh));
+            results.add(name + "new pairings when over", at, "", each(moves, Move::freshAfter));
             results.add(name + "new pairings / copies that use it", at, "", each(moves, Move::ratio));
             results.add(name + "pairings that are back after", at, "", each(moves, Move::returned));
         }
--- a/lab/src/main/java/passhatch/lab/Pairings.java
+++ b/lab/src/main/java/passhatch/lab/Pairings.java
@@ -7,7 +7,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
-import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
 import java.util.stream.IntStream;
 import passhatch.Balancer.Server;
@@ -33,17 +32,25 @@
     /** Calls of each copy from which its servers' load is counted; a multiple of the usual subset sizes. */
     private static final int CALLS = 120;
 
-    /** How the fleet took one change: copies that used the server, new pairings, and the share kept after. */
-    record Move(double users, double fresh, double returned) {
+    /**
+     * How the fleet took one change.
+     *
+     * @param users copies that used the server
+     * @param fresh new pairings when it changed
+     * @param freshAfter new pairings when that was over
+     * @param returned share of the pairings before that are there again after
+     */
+    record Move(double users, double fresh, double freshAfter, double returned) {
 
-        /** New pairings for each copy that used the server. */
+        /** New pairings for each copy that used the server, at the change or its end, whichever had more. */
         double ratio() {
-            return fresh == 0 ? 0 : fresh / Math.max(1, users);
+            double most = Math.max(fresh, freshAfter);
+            return most == 0 ? 0 : most / Math.max(1, users);
         }
     }
 
-    /** What one copy did at a change: if it used the server, new pairings, and those back after, of all. */
-    private record Seen(int changed, boolean used, int fresh, int returned, int before) { }
+    /** The same of one copy; the pairings that are there again are counted, and all before. */
+    private record Seen(int changed, boolean used, int fresh, int freshAfter, int returned, int before) { }
 
     /** All that is kept of a copy. Its restart is null where it wasn't restarted. */
     private record Copy(Set<String> subset, Map<String, Integer> calls, Boolean keptOverRestart,
@@ -98,8 +105,8 @@
                 change.end(instance, servers.get(i));
                 now = instance.settledSubset();
                 boolean used = (change == Change.COMES ? then : before).contains(servers.get(i).id());
-                each.add(new Seen(i, used, without(then, before), before.size() - without(before, now),
-                        before.size()));
+                each.add(new Seen(i, used, without(then, before), without(now, then),
+                        before.size() - without(before, now), before.size()));
             }
             seen.put(change, each);
         }
@@ -169,19 +176,22 @@
         return IntStream.range(0, servers).mapToObj(i -> {
             List<Seen> one = seen.stream().filter(s -> s.changed() == i).toList();
             return new Move(one.stream().filter(Seen::used).count(),
-                    one.stream().mapToInt(Seen::fresh).sum(), returned(one));
+                    one.stream().mapToInt(Seen::fresh).sum(),
+                    one.stream().mapToInt(Seen::freshAfter).sum(), returned(one));
         }).toList();
     }
 
     private Move estimate(List<Seen> seen) {
         double used = subsetSize() / size.servers();
-        double fresh = used * mean(seen, Seen::used, Seen::fresh)
-                + (1 - used) * mean(seen, s -> !s.used(), Seen::fresh);
-        return new Move(used * size.copies(), fresh * size.copies(), returned(seen));
+        return new Move(used * size.copies(), overFleet(seen, used, Seen::fresh),
+                overFleet(seen, used, Seen::freshAfter), returned(seen));
     }
 
-    private static double mean(List<Seen> seen, Predicate<Seen> of, ToDoubleFunction<Seen> what) {
-        return seen.stream().filter(of).mapToDouble(what).average().orElse(0);
+    /** What all copies together do, if this part of them uses a server. */
+    private double overFleet(List<Seen> seen, double used, ToDoubleFunction<Seen> what) {
+        double ofUsers = seen.stream().filter(Seen::used).mapToDouble(what).average().orElse(0);
+        double ofOthers = seen.stream().filter(s -> !s.used()).mapToDouble(what).average().orElse(0);
+        return size.copies() * (used * ofUsers + (1 - used) * ofOthers);
     }
 
     private static double returned(List<Seen> seen) {
