--- a/lab/src/main/java/passhatch/lab/FleetCommand.java
+++ b/lab/src/main/java/passhatch/lab/FleetCommand.java
@@ -35,8 +35,8 @@
     private long observeUpTo;
 
     @Option(names = "--play-up-to", defaultValue = "1000000", paramLabel = "N",
-            description = "copies times servers up to which traffic is played, some 400 bytes each for every "
-                    + "core (default: ${DEFAULT-VALUE})")
+            description = "copies times servers up to which traffic is played, some 400 bytes each, times "
+                    + "cores (default: ${DEFAULT-VALUE})")
     private long playUpTo;
 
     @Override
--- a/lab/src/main/java/passhatch/lab/Pairings.java
+++ b/lab/src/main/java/passhatch/lab/Pairings.java
@@ -86,31 +86,36 @@
         ObservedInstance instance = new ObservedInstance(size.copies(), copy, random.nextLong(), list);
         Set<String> subset = instance.settledSubset();
         Map<String, Integer> calls = instance.evenTraffic(CALLS);
-        Boolean kept = null;
-        int every = Math.max(1, observed / RESTARTED);
-        if (index % every == 0) {
-            List<Server> otherOrder = Sites.shuffled(list, random.nextLong());
-            kept = new ObservedInstance(size.copies(), copy, random.nextLong(), otherOrder)
-                    .settledSubset().equals(subset);
-        }
+        boolean restarted = index % Math.max(1, observed / RESTARTED) == 0;
+        Boolean kept = restarted ? restart(copy, random).equals(subset) : null;
+        return new Copy(subset, calls, kept, show(instance, whole ? changedForAll()
+                : changedFor(subset, random)));
+    }
+
+    /** What the copy uses once it is started anew and told the list in another order. */
+    private Set<String> restart(int copy, SplittableRandom random) {
+        List<Server> otherOrder = Sites.shuffled(list, random.nextLong());
+        return new ObservedInstance(size.copies(), copy, random.nextLong(), otherOrder).settledSubset();
+    }
+
+    /** Shows an instance every change, of one server after the other. */
+    private Map<Change, List<Seen>> show(ObservedInstance instance, List<Server> changed) {
         Map<Change, List<Seen>> seen = new EnumMap<>(Change.class);
-        List<Server> changed = whole ? changedForAll() : changedFor(subset, random);
         Set<String> now = instance.settledSubset();
         for (Change change : Change.values()) {
             List<Seen> each = new ArrayList<>();
-            List<Server> servers = change == Change.COMES ? newcomers : changed;
-            for (int i = 0; i < servers.size(); i++) {
+            for (Server server : change == Change.COMES ? newcomers : changed) {
                 Set<String> before = now;
-                Set<String> then = change.begin(instance, servers.get(i));
-                change.end(instance, servers.get(i));
+                Set<String> then = change.begin(instance, server);
+                change.end(instance, server);
                 now = instance.settledSubset();
-                boolean used = (change == Change.COMES ? then : before).contains(servers.get(i).id());
-                each.add(new Seen(i, used, without(then, before), without(now, then),
+                boolean used = (change == Change.COMES ? then : before).contains(server.id());
+                each.add(new Seen(each.size(), used, without(then, before), without(now, then),
                         before.size() - without(before, now), before.size()));
             }
             seen.put(change, each);
         }
-        return new Copy(subset, calls, kept, seen);
+        return seen;
     }
 
     private List<Server> changedForAll() {
--- a/lab/src/main/java/passhatch/lab/Results.java
+++ b/lab/src/main/java/passhatch/lab/Results.java
@@ -4,6 +4,7 @@
 import java.io.UncheckedIOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
@@ -92,13 +93,19 @@
         page.append(notes.isEmpty() ? "" : "\n");
         try {
             Files.createDirectories(directory);
-            Files.writeString(directory.resolve(name + ".md"), page);
-            Files.writeString(directory.resolve(name + ".csv"), csv);
+            replace(name + ".md", page);
+            replace(name + ".csv", csv);
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
     }
 
+    /** A command stopped in the middle leaves the file as it was before. */
+    private void replace(String file, CharSequence content) throws IOException {
+        Path written = Files.writeString(directory.resolve(file + ".part"), content);
+        Files.move(written, directory.resolve(file), StandardCopyOption.REPLACE_EXISTING);
+    }
+
     /** Four significant digits, plain: neither exponents nor digits that no run supports. */
     private static String text(double value) {
         int digits = value == 0 || !Double.isFinite(value) ? 0
--- a/lab/src/main/java/passhatch/lab/RunOptions.java
+++ b/lab/src/main/java/passhatch/lab/RunOptions.java
@@ -11,7 +11,7 @@
     long seed;
 
     @Option(names = "--runs", defaultValue = "3", paramLabel = "N",
-            description = "runs of each figure, for its spread (default: ${DEFAULT-VALUE})")
+            description = "runs of each figure of the fleet, for its spread (default: ${DEFAULT-VALUE})")
     int runs;
 
     @Option(names = "--out", defaultValue = "lab/results/target", paramLabel = "DIR",
