--- a/lab/src/main/java/passhatch/lab/Pairings.java
+++ b/lab/src/main/java/passhatch/lab/Pairings.java
@@ -24,7 +24,7 @@
     /** Changed servers of a run, where every copy is observed. */
     private static final int CHANGED = 5;
     /** Copies observed where not all are, and the changed servers that each is shown: used, and not. */
-    private static final int SAMPLED_COPIES = 8;
+    private static final int SAMPLED_COPIES = 16;
     private static final int SAMPLED_USED = 3;
     private static final int SAMPLED_UNUSED = 15;
     /** Copies that are restarted. */
--- a/lab/src/main/java/passhatch/lab/Seconds.java
+++ b/lab/src/main/java/passhatch/lab/Seconds.java
@@ -27,8 +27,8 @@
             return latencyUs.getMean();
         }
 
-        long latencyUs(double percentile) {
-            return latencyUs.getValueAtPercentile(percentile);
+        double p99LatencyUs() {
+            return latencyUs.getValueAtPercentile(99);
         }
     }
 
--- a/lab/src/main/java/passhatch/lab/ZoneLoss.java
+++ b/lab/src/main/java/passhatch/lab/ZoneLoss.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.function.Predicate;
+import java.util.function.ToDoubleFunction;
 
 /**
  * A zone's servers, a third of all, die at once; discovery tells a second later. They come back together,
@@ -40,13 +41,19 @@
         List<Seconds.Second> back = fleet.seconds().between(BACK_S, END_S);
         return List.of(
                 new Figure("zone goes: not served, worst second", "", worstUnserved(away)),
-                new Figure("zone goes: mean time, worst second / before", "", worstTime(away, before)),
+                new Figure("zone goes: mean time, worst second / before", "",
+                        worst(away, before, Seconds.Second::meanLatencyUs)),
+                new Figure("zone goes: 99th percentile, worst second / before", "",
+                        worst(away, before, Seconds.Second::p99LatencyUs)),
                 new Figure("zone goes: extra attempts a request, peak second", "", away.stream()
                         .mapToDouble(Seconds.Second::extraAttempts).max().orElseThrow()),
                 new Figure("zone goes: until all are served again", "s",
                         calmAfter(away, s -> served(s, before))),
                 new Figure("zone back: not served, worst second", "", worstUnserved(back)),
-                new Figure("zone back: mean time, worst second / before", "", worstTime(back, before)),
+                new Figure("zone back: mean time, worst second / before", "",
+                        worst(back, before, Seconds.Second::meanLatencyUs)),
+                new Figure("zone back: 99th percentile, worst second / before", "",
+                        worst(back, before, Seconds.Second::p99LatencyUs)),
                 new Figure("zone back: until calm again", "s",
                         calmAfter(back, s -> served(s, before) && inTime(s, before))),
                 new Figure("most requests held by a server, per core, before", "", heldBefore),
@@ -58,9 +65,9 @@
         return of.stream().mapToDouble(Seconds.Second::unservedShare).max().orElseThrow();
     }
 
-    private static double worstTime(List<Seconds.Second> of, Seconds.Second before) {
-        return of.stream().mapToDouble(Seconds.Second::meanLatencyUs).max().orElseThrow()
-                / before.meanLatencyUs();
+    private static double worst(List<Seconds.Second> of, Seconds.Second before,
+            ToDoubleFunction<Seconds.Second> latency) {
+        return of.stream().mapToDouble(latency).max().orElseThrow() / latency.applyAsDouble(before);
     }
 
     private static boolean served(Seconds.Second s, Seconds.Second before) {
