--- a/lab/src/main/java/passhatch/lab/FleetCommand.java
+++ b/lab/src/main/java/passhatch/lab/FleetCommand.java
@@ -34,6 +34,12 @@
                     + "of a sample (default: ${DEFAULT-VALUE})")
     private long observeUpTo;
 
+    @Option(names = "--others", defaultValue = "15", paramLabel = "N",
+            description = "servers that a sampled copy does not use and is shown to change: what moves fewer "
+                    + "than 1 in " + Pairings.SAMPLED_COPIES + " N such copies stays unseen "
+                    + "(default: ${DEFAULT-VALUE})")
+    private int others;
+
     @Option(names = "--play-up-to", defaultValue = "1000000", paramLabel = "N",
             description = "copies times servers up to which traffic is played, some 400 bytes each, times "
                     + "cores (default: ${DEFAULT-VALUE})")
@@ -55,7 +61,7 @@
             long runs = size.cells() > ONE_RUN_BEYOND ? 1 : run.runs;
             progress.say("fleet, pairings, " + size);
             addPairings(results, size, LongStream.range(run.seed, run.seed + runs)
-                    .mapToObj(seed -> new Pairings(size, seed, observeUpTo)).toList());
+                    .mapToObj(seed -> new Pairings(size, seed, observeUpTo, others)).toList());
             if (size.cells() > playUpTo) {
                 results.note("Traffic at " + size + " was left out: beyond --play-up-to " + playUpTo + ".");
             } else {
@@ -65,7 +71,7 @@
         }
     }
 
-    private static void addPairings(Results results, Size size, List<Pairings> runs) {
+    private void addPairings(Results results, Size size, List<Pairings> runs) {
         String at = size.toString();
         results.add("servers that a copy uses", at, "", each(runs, Pairings::subsetSize));
         results.add("copies that keep their servers over a restart", at, "",
@@ -74,8 +80,11 @@
             results.add("busiest server / mean, pairings", at, "", each(runs, Pairings::busiestByPairings));
             results.add("busiest server / mean, calls", at, "", each(runs, Pairings::busiestByCalls));
         } else {
-            results.note("Pairings at " + size + ": estimated from a sample of copies, each shown changes of "
-                    + "servers that it uses and of others; the busiest server was left out.");
+            int sample = Pairings.SAMPLED_COPIES;
+            results.note("Pairings at " + size + ": estimated from " + sample + " copies, each shown changes "
+                    + "of servers that it uses and of " + others + " others. What moves fewer than 1 in "
+                    + sample * others + " of the copies that do not use the server may be unseen. The "
+                    + "busiest server was left out.");
         }
         for (Change change : Change.values()) {
             String name = "server " + change.name().toLowerCase(Locale.ROOT) + ": ";
--- a/lab/src/main/java/passhatch/lab/Pairings.java
+++ b/lab/src/main/java/passhatch/lab/Pairings.java
@@ -23,10 +23,9 @@
 
     /** Changed servers of a run, where every copy is observed. */
     private static final int CHANGED = 5;
-    /** Copies observed where not all are, and the changed servers that each is shown: used, and not. */
-    private static final int SAMPLED_COPIES = 16;
+    /** Copies observed where not all are, and the servers that each uses and is shown to change. */
+    static final int SAMPLED_COPIES = 16;
     private static final int SAMPLED_USED = 3;
-    private static final int SAMPLED_UNUSED = 15;
     /** Copies that are restarted. */
     private static final int RESTARTED = 64;
     /** Calls of each copy from which its servers' load is counted; a multiple of the usual subset sizes. */
@@ -59,6 +58,7 @@
     private final Size size;
     private final long seed;
     private final boolean whole;
+    private final int others;
     private final List<Server> list;
     private final List<Server> newcomers;
     private final List<Copy> copies;
@@ -67,12 +67,14 @@
      * Observes a fleet, on all cores.
      *
      * @param wholeUpTo copies x servers up to which every copy is observed
+     * @param others beyond, the servers that a copy does not use and is shown to change
      */
-    Pairings(Size size, long seed, long wholeUpTo) {
+    Pairings(Size size, long seed, long wholeUpTo, int others) {
         this.size = size;
         this.seed = seed;
         this.whole = size.cells() <= wholeUpTo;
-        List<Server> all = Sites.servers(size.servers() + CHANGED, seed);
+        this.others = others;
+        List<Server> all = Sites.servers(size.servers() + (whole ? CHANGED : others), seed);
         this.list = all.subList(0, size.servers());
         this.newcomers = all.subList(size.servers(), all.size());
         int observed = whole ? size.copies() : Math.min(size.copies(), SAMPLED_COPIES);
@@ -126,7 +128,7 @@
         List<Server> mixed = Sites.shuffled(list, random.nextLong());
         List<Server> changed = new ArrayList<>(
                 mixed.stream().filter(s -> subset.contains(s.id())).limit(SAMPLED_USED).toList());
-        mixed.stream().filter(s -> !subset.contains(s.id())).limit(SAMPLED_UNUSED).forEach(changed::add);
+        mixed.stream().filter(s -> !subset.contains(s.id())).limit(others).forEach(changed::add);
         return changed;
     }
 
--- a/lab/src/test/java/passhatch/lab/PairingsTest.java
+++ b/lab/src/test/java/passhatch/lab/PairingsTest.java
@@ -14,8 +14,8 @@
     private static final double MOST_NEW = 2;
     private static final double BUSIEST = 1.3;
     private static final List<Pairings> FLEETS = List.of(
-            new Pairings(new Size(100, 30), 1, Long.MAX_VALUE),
-            new Pairings(new Size(100, 300), 1, Long.MAX_VALUE));
+            new Pairings(new Size(100, 30), 1, Long.MAX_VALUE, 0),
+            new Pairings(new Size(100, 300), 1, Long.MAX_VALUE, 0));
 
     @ParameterizedTest
     @EnumSource(names = {"DISABLED", "RESTS"})
@@ -55,7 +55,7 @@
     @Test
     void aSampleTellsWhatTheWholeFleetDoes() {
         Pairings whole = FLEETS.get(1);
-        Pairings sample = new Pairings(new Size(100, 300), 1, 0);
+        Pairings sample = new Pairings(new Size(100, 300), 1, 0, 15);
         assertEquals(whole.subsetSize(), sample.subsetSize(), 0.5);
         Pairings.Move rests = sample.moves(Change.RESTS).get(0);
         assertEquals(whole.subsetSize() * 100 / 300, rests.users(), 0.5);
