--- /dev/null
+++ b/lab/src/main/java/passhatch/lab/control/BackendList.java
@@ -0,0 +1,56 @@
+package passhatch.lab.control;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import passhatch.Balancer.ServerStatus;
+import passhatch.lab.discovery.Endpoint;
+import passhatch.lab.discovery.Endpoint.Status;
+
+/** Made-up backends, spread evenly over the zones; nothing listens at their addresses. */
+final class BackendList {
+
+    /** The zones planned for. */
+    static final List<String> ZONES = IntStream.range(0, 24).mapToObj(i -> "zone-" + (char) ('a' + i)).toList();
+    static final List<String> MODELS = List.of("m1", "m2");
+    private static final int IN_A_CELL = 8;
+    private static final int PORT = 5000;
+
+    private final List<Endpoint> endpoints = new ArrayList<>();
+
+    BackendList(int size) {
+        for (int i = 0; i < size; i++) {
+            endpoints.add(Endpoint.serving(String.format("s-%08x", i * 0x9E3779B1),
+                    "127." + (1 + (i >> 16)) + "." + (i >> 8 & 255) + "." + (i & 255) + ":" + PORT,
+                    ZONES.get(i % ZONES.size()), MODELS.get(i % MODELS.size()), i / IN_A_CELL));
+        }
+    }
+
+    int size() {
+        return endpoints.size();
+    }
+
+    List<Endpoint> all() {
+        return List.copyOf(endpoints);
+    }
+
+    /** Turns so many backends, from a place on, from serving to draining or back, and returns them so. */
+    List<Endpoint> turn(int from, int count) {
+        List<Endpoint> turned = new ArrayList<>();
+        for (int i = from; i < from + count; i++) {
+            int at = i % endpoints.size();
+            Endpoint now = endpoints.get(at);
+            endpoints.set(at, now.with(now.status() == Status.SERVING ? Status.DRAINING : Status.SERVING));
+            turned.add(endpoints.get(at));
+        }
+        return turned;
+    }
+
+    /** What modules are told of these. */
+    static Map<String, ServerStatus> told(List<Endpoint> endpoints) {
+        return endpoints.stream().collect(Collectors.toMap(Endpoint::name,
+                e -> e.status() == Status.SERVING ? ServerStatus.UP : ServerStatus.DRAINING));
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/passhatch/lab/control/ProxyFleet.java
@@ -0,0 +1,110 @@
+package passhatch.lab.control;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.io.Closeable;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import passhatch.Balancer.DedupGroup;
+import passhatch.Balancer.Effect;
+import passhatch.Balancer.ListKind;
+import passhatch.Balancer.RequestClass;
+import passhatch.Balancer.Server;
+import passhatch.Balancer.Settings;
+import passhatch.SettingsBuilder;
+import passhatch.proxy.SimulatedProxy;
+
+/** Simulated proxies that watch one discovery, many to an event loop. */
+final class ProxyFleet implements Closeable {
+
+    private static final long AIM_US = 400_000;
+    private static final long DEADLINE_US = 1_000_000;
+
+    private final MultiThreadIoEventLoopGroup group;
+    private final InetSocketAddress discovery;
+    private final BackendList backends;
+    private final AtomicInteger listed = new AtomicInteger();
+    private volatile Propagation propagation;
+    private int proxies;
+
+    ProxyFleet(int loops, InetSocketAddress discovery, BackendList backends) {
+        this.group = new MultiThreadIoEventLoopGroup(loops, new DefaultThreadFactory("proxies", true),
+                NioIoHandler.newFactory());
+        this.discovery = discovery;
+        this.backends = backends;
+    }
+
+    ProcessorTime processorTime() {
+        return new ProcessorTime(group);
+    }
+
+    int size() {
+        return proxies;
+    }
+
+    /** Proxies that have had a list from discovery. */
+    int listed() {
+        return listed.get();
+    }
+
+    /** Has all lists from now on counted there. */
+    void countAt(Propagation counted) {
+        propagation = counted;
+    }
+
+    /** Starts so many more proxies, and waits for nothing. */
+    void start(int more) {
+        for (int i = 0; i < more; i++) {
+            int number = proxies++;
+            EventLoop loop = group.next();
+            loop.execute(() -> new SimulatedProxy(loop, discovery, number, settings(number), BackendList.ZONES,
+                    BackendList.MODELS, new Seen(number), new PrintStream(OutputStream.nullOutputStream())));
+        }
+    }
+
+    /** As many proxies as backends, each with a zone of its own. */
+    private Settings settings(int number) {
+        return new SettingsBuilder()
+                .requestClass(new RequestClass("any", AIM_US, DEADLINE_US, 1, 0, Effect.SAFE, DedupGroup.ALL,
+                        0))
+                .copies(backends.size(), number % backends.size())
+                .zone(number % BackendList.ZONES.size())
+                .build();
+    }
+
+    /** What one proxy's module takes in. */
+    private final class Seen implements SimulatedProxy.Observer {
+        private final int number;
+        private boolean first = true;
+
+        Seen(int number) {
+            this.number = number;
+        }
+
+        @Override
+        public void inForce(ListKind kind, List<Server> servers) {
+            if (kind == ListKind.REMEMBERED) {
+                return;
+            }
+            if (first) {
+                first = false;
+                listed.incrementAndGet();
+            }
+            Propagation counted = propagation;
+            if (counted != null) {
+                counted.inForce(number, servers);
+            }
+        }
+    }
+
+    @Override
+    public void close() {
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/passhatch/lab/discovery/ByteCounter.java
@@ -0,0 +1,32 @@
+package passhatch.lab.discovery;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelDuplexHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPromise;
+
+/** Counts the bytes of a connection, next to its socket. */
+final class ByteCounter extends ChannelDuplexHandler {
+
+    private final DiscoveryListener listener;
+
+    ByteCounter(DiscoveryListener listener) {
+        this.listener = listener;
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object message) {
+        if (message instanceof ByteBuf bytes) {
+            listener.received(bytes.readableBytes());
+        }
+        ctx.fireChannelRead(message);
+    }
+
+    @Override
+    public void write(ChannelHandlerContext ctx, Object message, ChannelPromise promise) {
+        if (message instanceof ByteBuf bytes) {
+            listener.sent(bytes.readableBytes());
+        }
+        ctx.write(message, promise);
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/passhatch/lab/discovery/CallCosts.java
@@ -0,0 +1,23 @@
+package passhatch.lab.discovery;
+
+import java.time.Duration;
+
+/**
+ * What a call costs the service, which handles calls one after another. Handing a change to the watches that
+ * are open is no call.
+ *
+ * @param perCall time for each call
+ * @param perLine and for each backend in its answer
+ * @param longestWait a call that waited for so long is answered 503
+ * @param longestQueue a call that finds so many waiting is answered 503 at once
+ */
+public record CallCosts(Duration perCall, Duration perLine, Duration longestWait, int longestQueue) {
+
+    /** Calls that cost nothing but the processor time that they take. */
+    public static final CallCosts NONE = new CallCosts(Duration.ZERO, Duration.ZERO, Duration.ofSeconds(2),
+            Integer.MAX_VALUE);
+
+    long serviceNs(int lines) {
+        return perCall.toNanos() + perLine.toNanos() * lines;
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/passhatch/lab/discovery/CallHandler.java
@@ -0,0 +1,171 @@
+package passhatch.lab.discovery;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import io.netty.handler.timeout.IdleStateEvent;
+
+/** One connection of a caller: calls for the whole list, one after another, until one of them is a watch. */
+final class CallHandler extends SimpleChannelInboundHandler<HttpObject> {
+
+    private static final String PATH = "/v1/endpoints";
+
+    private final DiscoveryServer server;
+    private ChannelHandlerContext ctx;
+    private boolean watch;
+    private boolean silenced;
+
+    CallHandler(DiscoveryServer server) {
+        this.server = server;
+    }
+
+    @Override
+    public void handlerAdded(ChannelHandlerContext context) {
+        ctx = context;
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, HttpObject message) {
+        if (!(message instanceof HttpRequest request)) {
+            return;
+        }
+        server.listener().called(server.queue().length());
+        QueryStringDecoder query = new QueryStringDecoder(request.uri());
+        if (server.mode() == DiscoveryServer.Mode.SILENT) {
+            return;
+        }
+        if (server.mode() == DiscoveryServer.Mode.FAILING) {
+            turnAway();
+        } else if (!query.path().equals(PATH) || !request.method().equals(HttpMethod.GET)) {
+            answer(HttpResponseStatus.NOT_FOUND, Unpooled.EMPTY_BUFFER);
+        } else if (query.parameters().containsKey("watch")) {
+            server.queue().add(new Call(true, version(query)));
+        } else {
+            server.queue().add(new Call(false, null));
+        }
+    }
+
+    /** The version that a watch is asked from; null, for the whole list, where there is none. */
+    private static Long version(QueryStringDecoder query) {
+        try {
+            return Long.valueOf(query.parameters().get("from").get(0));
+        } catch (NullPointerException | NumberFormatException none) {
+            return null;
+        }
+    }
+
+    /** One call in the queue. */
+    private final class Call implements CallQueue.Call {
+        private final boolean watches;
+        private final Long from;
+
+        Call(boolean watches, Long from) {
+            this.watches = watches;
+            this.from = from;
+        }
+
+        @Override
+        public int lines() {
+            return server.answerFrom(from).lines();
+        }
+
+        @Override
+        public boolean isGone() {
+            return !ctx.channel().isActive();
+        }
+
+        @Override
+        public void serve(long waitedNs) {
+            server.listener().served(waitedNs);
+            ByteBuf body = Unpooled.wrappedBuffer(server.answerFrom(from).bytes());
+            if (watches) {
+                watch = true;
+                HttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+                head.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON)
+                        .set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+                ctx.write(head);
+                ctx.writeAndFlush(new DefaultHttpContent(body));
+            } else {
+                answer(HttpResponseStatus.OK, body);
+            }
+        }
+
+        @Override
+        public void turnAway() {
+            CallHandler.this.turnAway();
+        }
+    }
+
+    private void turnAway() {
+        server.listener().turnedAway();
+        answer(HttpResponseStatus.SERVICE_UNAVAILABLE, Unpooled.EMPTY_BUFFER);
+    }
+
+    private void answer(HttpResponseStatus status, ByteBuf body) {
+        DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body);
+        response.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON)
+                .set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
+        ctx.writeAndFlush(response);
+    }
+
+    @Override
+    public void userEventTriggered(ChannelHandlerContext context, Object event) {
+        if (event instanceof IdleStateEvent && isTold()) {
+            ctx.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(new byte[] {'\n'})));
+        }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        // The caller broke off, or sends what is no HTTP: both may be, and the caller sees it.
+        ctx.close();
+    }
+
+    boolean isWatch() {
+        return watch;
+    }
+
+    /** Whether it is an open watch that still says something. */
+    boolean isTold() {
+        return watch && !silenced;
+    }
+
+    void tell(DiscoveryServer.Answer change) {
+        if (isTold()) {
+            ctx.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(change.bytes())));
+        }
+    }
+
+    void silence() {
+        silenced = true;
+    }
+
+    void endWatch() {
+        if (watch) {
+            watch = false;
+            ctx.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT).addListener(ChannelFutureListener.CLOSE);
+        }
+    }
+
+    void reset() {
+        watch = false;
+        ctx.channel().config().setOption(ChannelOption.SO_LINGER, 0);
+        ctx.close();
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/passhatch/lab/discovery/package-info.java
@@ -0,0 +1,2 @@
+/** A stand-in for the discovery service, for tests, measurements and emulations on loopback addresses. */
+package passhatch.lab.discovery;
--- /dev/null
+++ b/lab/src/main/java/passhatch/proxy/ObservedBalancer.java
@@ -0,0 +1,98 @@
+package passhatch.proxy;
+
+import java.util.List;
+import passhatch.Balancer;
+
+/** A decision module that passes all on to another and tells an observer of each list when it is taken in. */
+final class ObservedBalancer implements Balancer {
+
+    private final Balancer balancer;
+    private final SimulatedProxy.Observer observer;
+
+    ObservedBalancer(Balancer balancer, SimulatedProxy.Observer observer) {
+        this.balancer = balancer;
+        this.observer = observer;
+    }
+
+    @Override
+    public void serversChanged(long nowUs, ListKind kind, List<Server> servers) {
+        balancer.serversChanged(nowUs, kind, servers);
+        observer.inForce(kind, servers);
+    }
+
+    @Override
+    public void discoveryFailed(long nowUs) {
+        balancer.discoveryFailed(nowUs);
+    }
+
+    @Override
+    public void request(long nowUs, Request request) {
+        balancer.request(nowUs, request);
+    }
+
+    @Override
+    public void requestWhole(long nowUs, String request, long timeLeftUs) {
+        balancer.requestWhole(nowUs, request, timeLeftUs);
+    }
+
+    @Override
+    public void bodySpent(long nowUs, String request) {
+        balancer.bodySpent(nowUs, request);
+    }
+
+    @Override
+    public void outcome(long nowUs, String request, int attempt, String server, Outcome outcome,
+            long elapsedUs, boolean ended, LoadReport report) {
+        balancer.outcome(nowUs, request, attempt, server, outcome, elapsedUs, ended, report);
+    }
+
+    @Override
+    public void streamStarted(long nowUs, String request, int attempt, String server, long elapsedUs) {
+        balancer.streamStarted(nowUs, request, attempt, server, elapsedUs);
+    }
+
+    @Override
+    public void clientGone(long nowUs, String request) {
+        balancer.clientGone(nowUs, request);
+    }
+
+    @Override
+    public void probeResult(long nowUs, String server, Outcome outcome, long elapsedUs, LoadReport report) {
+        balancer.probeResult(nowUs, server, outcome, elapsedUs, report);
+    }
+
+    @Override
+    public void timer(long nowUs) {
+        balancer.timer(nowUs);
+    }
+
+    @Override
+    public boolean knows(String server) {
+        return balancer.knows(server);
+    }
+
+    @Override
+    public void takeOut(long nowUs, String server) {
+        balancer.takeOut(nowUs, server);
+    }
+
+    @Override
+    public void putBack(long nowUs, String server) {
+        balancer.putBack(nowUs, server);
+    }
+
+    @Override
+    public boolean isOut(String server) {
+        return balancer.isOut(server);
+    }
+
+    @Override
+    public boolean maySend(long nowUs, String request, int attempt) {
+        return balancer.maySend(nowUs, request, attempt);
+    }
+
+    @Override
+    public Census census(long nowUs) {
+        return balancer.census(nowUs);
+    }
+}
--- /dev/null
+++ b/lab/src/test/java/passhatch/lab/discovery/DiscoveryServerTest.java
@@ -0,0 +1,186 @@
+package passhatch.lab.discovery;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.jr.ob.JSON;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.InputStreamReader;
+import java.net.ConnectException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.net.http.HttpResponse.BodyHandlers;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import passhatch.lab.discovery.DiscoveryServer.Mode;
+import passhatch.lab.discovery.Endpoint.Status;
+
+/** The stand-in held against the protocol page, and the ways in which it can be made to fail. */
+@Timeout(60)
+final class DiscoveryServerTest {
+
+    private static final Endpoint A = Endpoint.serving("s-a", "10.1.0.18:5000", "a", "m2", 3);
+    private static final Endpoint B = Endpoint.serving("s-b", "10.1.0.19:5000", "b", "m2", 3);
+
+    private final HttpClient client = HttpClient.newHttpClient();
+    private DiscoveryServer server = start(false);
+
+    private static DiscoveryServer start(boolean indented) {
+        return new DiscoveryServer(List.of(A, B), CallCosts.NONE, indented, DiscoveryListener.NONE);
+    }
+
+    @AfterEach
+    void close() {
+        server.close();
+    }
+
+    private HttpRequest get(String path) {
+        return HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + server.address().getPort() + path))
+                .build();
+    }
+
+    private HttpResponse<String> call(String path) throws Exception {
+        return client.send(get(path), BodyHandlers.ofString());
+    }
+
+    private BufferedReader watch(String query) throws Exception {
+        HttpResponse<InputStream> answer = client.send(get("/v1/endpoints?watch=1" + query),
+                BodyHandlers.ofInputStream());
+        assertEquals("chunked", answer.headers().firstValue("transfer-encoding").orElse(""));
+        return new BufferedReader(new InputStreamReader(answer.body(), StandardCharsets.UTF_8));
+    }
+
+    private static String object(BufferedReader watch) throws IOException {
+        String line = watch.readLine();
+        while (line != null && line.isEmpty()) {
+            line = watch.readLine();
+        }
+        return line;
+    }
+
+    /** Index, whether whole, and the names with their states. */
+    private static String brief(String json) throws IOException {
+        Map<String, Object> update = JSON.std.mapFrom(json);
+        StringBuilder brief = new StringBuilder().append(update.get("index"))
+                .append(Boolean.TRUE.equals(update.get("snapshot")) ? " whole" : " changes");
+        for (Object endpoint : (List<?>) update.get("endpoints")) {
+            Map<?, ?> e = (Map<?, ?>) endpoint;
+            brief.append(' ').append(e.get("name")).append('=').append(e.get("status"));
+        }
+        return brief.toString();
+    }
+
+    @Test
+    void theWholeListReadsAsOnThePage() throws Exception {
+        HttpResponse<String> answer = call("/v1/endpoints");
+        assertEquals(200, answer.statusCode());
+        assertEquals("{\"index\":1,\"snapshot\":true,\"endpoints\":["
+                + "{\"name\":\"s-a\",\"address\":\"10.1.0.18:5000\",\"zone\":\"a\",\"type\":\"m2\",\"group\":3,"
+                + "\"status\":\"SERVING\",\"weight\":1.0,\"since_ms\":0},"
+                + "{\"name\":\"s-b\",\"address\":\"10.1.0.19:5000\",\"zone\":\"b\",\"type\":\"m2\",\"group\":3,"
+                + "\"status\":\"SERVING\",\"weight\":1.0,\"since_ms\":0}]}\n", answer.body());
+        assertEquals(404, call("/v1/other").statusCode());
+    }
+
+    @ParameterizedTest
+    @CsvSource({"&from=4, 4 changes", "&from=3, 4 changes s-b=DELETED",
+        "&from=1, 4 changes s-b=DELETED s-a=DRAINING", "&from=0, 4 whole s-a=DRAINING",
+        "&from=5, 4 whole s-a=DRAINING", "&from=x, 4 whole s-a=DRAINING", "'', 4 whole s-a=DRAINING"})
+    void aWatchBeginsWithWhatChangedSinceOrTheWholeList(String query, String first) throws Exception {
+        server.change(List.of(B.with(Status.DRAINING)));
+        server.change(List.of(A.with(Status.DRAINING)));
+        server.change(List.of(B.with(Status.DELETED)));
+        assertEquals(first, brief(watch(query).readLine()));
+        assertEquals("4 whole s-a=DRAINING", brief(call("/v1/endpoints").body()));
+    }
+
+    @Test
+    void aWatchTellsEachChangeOnALineAndSaysSoWhereNothingChanges() throws Exception {
+        BufferedReader watch = watch("&from=1");
+        assertEquals("1 changes", brief(watch.readLine()));
+        server.change(List.of(A.with(Status.DRAINING), B.with(Status.DRAINING)));
+        server.change(List.of(A));
+        assertEquals("2 changes s-a=DRAINING s-b=DRAINING", brief(watch.readLine()));
+        assertEquals("3 changes s-a=SERVING", brief(watch.readLine()));
+        assertEquals("", watch.readLine());
+    }
+
+    @Test
+    void listsMayComeIndented() throws Exception {
+        server.close();
+        server = start(true);
+        String text = call("/v1/endpoints").body();
+        assertEquals("1 whole s-a=SERVING s-b=SERVING", brief(text));
+        assertTrue(text.lines().count() > 10, text);
+    }
+
+    @Test
+    void callsFailOrGetNoAnswerWhileItIsToldTo() throws Exception {
+        server.mode(Mode.FAILING);
+        assertEquals(503, call("/v1/endpoints").statusCode());
+        assertEquals(503, call("/v1/endpoints?watch=1&from=1").statusCode());
+        server.mode(Mode.SILENT);
+        CompletableFuture<?> silent = client.sendAsync(get("/v1/endpoints"), BodyHandlers.ofString());
+        server.mode(Mode.SERVING);
+        assertEquals(200, call("/v1/endpoints").statusCode());
+        silent.cancel(true);
+    }
+
+    @Test
+    void someWatchesFallSilentAndTheOthersDoNot() throws Exception {
+        BufferedReader silent = watch("&from=1");
+        BufferedReader told = watch("&from=1");
+        assertEquals(2, server.watches());
+        server.silence(1);
+        assertEquals(1, server.watches());
+        server.change(List.of(A.with(Status.DRAINING)));
+        object(told);
+        assertEquals("2 changes s-a=DRAINING", brief(object(told)));
+        assertEquals("1 changes", brief(object(silent)));
+        assertFalse(silent.ready());
+    }
+
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void watchesEndWholeOrAreReset(boolean whole) throws Exception {
+        BufferedReader watch = watch("&from=1");
+        object(watch);
+        if (whole) {
+            server.endWatches();
+            assertNull(object(watch));
+        } else {
+            server.resetWatches();
+            assertThrows(IOException.class, () -> object(watch));
+        }
+        assertEquals(0, server.watches());
+        assertEquals(200, call("/v1/endpoints").statusCode());
+    }
+
+    @ParameterizedTest
+    @CsvSource({"true, 2 changes s-a=DRAINING", "false, 2 whole s-a=DRAINING s-b=SERVING"})
+    void itGoesDownAndComesBackWithItsHistoryOrWithout(boolean remembering, String first) throws Exception {
+        BufferedReader watch = watch("&from=1");
+        object(watch);
+        server.goDown();
+        assertThrows(IOException.class, () -> object(watch));
+        assertThrows(ConnectException.class, () -> call("/v1/endpoints"));
+        server.change(List.of(A.with(Status.DRAINING)));
+        server.comeBack(remembering);
+        assertEquals(first, brief(object(watch("&from=1"))));
+    }
+}
