--- /dev/null
+++ b/lab/src/main/java/passhatch/lab/ControlCommand.java
@@ -0,0 +1,69 @@
+package passhatch.lab;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.Callable;
+import passhatch.lab.control.ControlTrial;
+import passhatch.lab.control.Size;
+import passhatch.lab.discovery.CallCosts;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Option;
+
+/** Measures the control path: simulated proxies that watch a stand-in discovery over loopback sockets. */
+@Command(name = "control", mixinStandardHelpOptions = true,
+        description = "The control path: bytes, calls and processor time a watch, changes, watches opened anew.")
+final class ControlCommand implements Callable<Integer> {
+
+    private static final Duration LONGEST_WAIT = Duration.ofSeconds(2);
+    private static final int LONGEST_QUEUE = 4_096;
+
+    @Mixin
+    private RunOptions options;
+
+    @Option(names = "--sizes", split = ",", converter = SizeConverter.class, paramLabel = "WATCHESxLINES",
+            defaultValue = "2000x30,500x300,2000x300,200x3000,8x19000",
+            description = "sizes, smaller lists first (default: ${DEFAULT-VALUE})")
+    private List<Size> sizes;
+
+    @Option(names = "--burst", defaultValue = "50", paramLabel = "N",
+            description = "backends that change at once (default: ${DEFAULT-VALUE})")
+    private int burst;
+
+    @Option(names = "--loops", defaultValue = "2", paramLabel = "N",
+            description = "event loops of the proxies (default: ${DEFAULT-VALUE})")
+    private int loops;
+
+    @Option(names = "--call-us", defaultValue = "200", paramLabel = "US",
+            description = "time that discovery takes for a call (default: ${DEFAULT-VALUE})")
+    private long callUs;
+
+    @Option(names = "--line-us", defaultValue = "1", paramLabel = "US",
+            description = "and for each line of its answer (default: ${DEFAULT-VALUE})")
+    private long lineUs;
+
+    /** So that picocli names the option at fault. */
+    private static final class SizeConverter implements picocli.CommandLine.ITypeConverter<Size> {
+        @Override
+        public Size convert(String text) {
+            return Size.of(text);
+        }
+    }
+
+    @Override
+    public Integer call() throws IOException, InterruptedException {
+        Results results = options.results("control");
+        Progress progress = new Progress();
+        results.note("Sizes are watches x lines. Simulated proxies (the real loop, discovery client and module) "
+                + "and the stand-in discovery share one process; processor time is that of their event loops' "
+                + "threads. Bytes are those of HTTP, without TCP's own.");
+        results.note("Assumed: discovery takes " + callUs + " us for a call and " + lineUs + " us for each line, "
+                + "one call after another; a call waits " + LONGEST_WAIT.toSeconds() + " s at most, in a queue of "
+                + LONGEST_QUEUE + ". Changes go to open watches at once. After the outage its history is lost.");
+        new ControlTrial(new ControlTrial.Plan(options.runs, burst, new CallCosts(Duration.ofNanos(callUs * 1_000),
+                Duration.ofNanos(lineUs * 1_000), LONGEST_WAIT, LONGEST_QUEUE), loops, options.seed),
+                results, progress::say).run(sizes);
+        return 0;
+    }
+}
--- a/lab/src/main/java/passhatch/lab/Lab.java
+++ b/lab/src/main/java/passhatch/lab/Lab.java
@@ -10,6 +10,7 @@
             AllCommand.class,
             ModuleCommand.class,
             FleetCommand.class,
+            ControlCommand.class,
         })
 public final class Lab {
 
--- a/lab/src/main/java/passhatch/lab/control/CallLog.java
+++ b/lab/src/main/java/passhatch/lab/control/CallLog.java
@@ -15,6 +15,7 @@
     /** What happened in one interval. */
     static final class Interval {
         private final long startNs = System.nanoTime();
+        private long endNs;
         /** Times since the start of each call's arrival, microseconds. */
         private final Histogram arrivalsUs = new Histogram(LONGEST_WAIT_US, DIGITS);
         private final RateWindow rate = new RateWindow();
@@ -61,17 +62,23 @@
         }
 
         double seconds() {
-            return (System.nanoTime() - startNs) / 1e9;
+            return (endNs - startNs) / 1e9;
         }
     }
 
     /** Ends the interval, returns it, and begins the next. */
     synchronized Interval next() {
         Interval over = current;
+        over.endNs = System.nanoTime();
         current = new Interval();
         return over;
     }
 
+    /** Calls answered 503 since the interval began. */
+    synchronized int turnedAwayInInterval() {
+        return current.turnedAway;
+    }
+
     @Override
     public synchronized void called(int waiting) {
         long sinceNs = System.nanoTime() - current.startNs;
--- a/lab/src/main/java/passhatch/lab/control/ProxyFleet.java
+++ b/lab/src/main/java/passhatch/lab/control/ProxyFleet.java
@@ -10,7 +10,6 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
 import passhatch.Balancer.DedupGroup;
 import passhatch.Balancer.Effect;
 import passhatch.Balancer.ListKind;
@@ -29,15 +28,16 @@
     private final MultiThreadIoEventLoopGroup group;
     private final InetSocketAddress discovery;
     private final BackendList backends;
-    private final AtomicInteger listed = new AtomicInteger();
+    private final long seed;
     private volatile Propagation propagation;
     private int proxies;
 
-    ProxyFleet(int loops, InetSocketAddress discovery, BackendList backends) {
+    ProxyFleet(int loops, InetSocketAddress discovery, BackendList backends, long seed) {
         this.group = new MultiThreadIoEventLoopGroup(loops, new DefaultThreadFactory("proxies", true),
                 NioIoHandler.newFactory());
         this.discovery = discovery;
         this.backends = backends;
+        this.seed = seed;
     }
 
     ProcessorTime processorTime() {
@@ -48,11 +48,6 @@
         return proxies;
     }
 
-    /** Proxies that have had a list from discovery. */
-    int listed() {
-        return listed.get();
-    }
-
     /** Has all lists from now on counted there. */
     void countAt(Propagation counted) {
         propagation = counted;
@@ -63,8 +58,8 @@
         for (int i = 0; i < more; i++) {
             int number = proxies++;
             EventLoop loop = group.next();
-            loop.execute(() -> new SimulatedProxy(loop, discovery, number, settings(number), BackendList.ZONES,
-                    BackendList.MODELS, new Seen(number), new PrintStream(OutputStream.nullOutputStream())));
+            loop.execute(() -> new SimulatedProxy(loop, discovery, seed + number, settings(number),
+                    BackendList.ZONES, BackendList.MODELS, new Seen(number), new PrintStream(OutputStream.nullOutputStream())));
         }
     }
 
@@ -81,7 +76,6 @@
     /** What one proxy's module takes in. */
     private final class Seen implements SimulatedProxy.Observer {
         private final int number;
-        private boolean first = true;
 
         Seen(int number) {
             this.number = number;
@@ -89,15 +83,8 @@
 
         @Override
         public void inForce(ListKind kind, List<Server> servers) {
-            if (kind == ListKind.REMEMBERED) {
-                return;
-            }
-            if (first) {
-                first = false;
-                listed.incrementAndGet();
-            }
             Propagation counted = propagation;
-            if (counted != null) {
+            if (kind != ListKind.REMEMBERED && counted != null) {
                 counted.inForce(number, servers);
             }
         }
--- a/lab/src/main/java/passhatch/lab/discovery/CallHandler.java
+++ b/lab/src/main/java/passhatch/lab/discovery/CallHandler.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOption;
@@ -16,6 +17,7 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.QueryStringDecoder;
@@ -28,6 +30,8 @@
 
     private final DiscoveryServer server;
     private ChannelHandlerContext ctx;
+    /** Whether the caller keeps its connection after the answer to its latest call. */
+    private boolean keepAlive = true;
     private boolean watch;
     private boolean silenced;
 
@@ -45,6 +49,7 @@
         if (!(message instanceof HttpRequest request)) {
             return;
         }
+        keepAlive = HttpUtil.isKeepAlive(request);
         server.listener().called(server.queue().length());
         QueryStringDecoder query = new QueryStringDecoder(request.uri());
         if (server.mode() == DiscoveryServer.Mode.SILENT) {
@@ -121,7 +126,11 @@
         DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, body);
         response.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON)
                 .set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
-        ctx.writeAndFlush(response);
+        HttpUtil.setKeepAlive(response, keepAlive);
+        ChannelFuture written = ctx.writeAndFlush(response);
+        if (!keepAlive) {
+            written.addListener(ChannelFutureListener.CLOSE);
+        }
     }
 
     @Override
