--- a/lab/src/main/java/passhatch/lab/Lab.java
+++ b/lab/src/main/java/passhatch/lab/Lab.java
@@ -11,6 +11,7 @@
             ModuleCommand.class,
             FleetCommand.class,
             ControlCommand.class,
+            LatencyCommand.class,
         })
 public final class Lab {
 
--- /dev/null
+++ b/lab/src/main/java/passhatch/lab/LatencyCommand.java
@@ -0,0 +1,36 @@
+package passhatch.lab;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.concurrent.Callable;
+import passhatch.lab.latency.LatencyTrial;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Option;
+
+/** Measures what a proxy in a process of its own adds to a call. */
+@Command(name = "latency", mixinStandardHelpOptions = true,
+        description = "What the proxy adds to a call: processor time, 50th and 99th percentile, open loop.")
+final class LatencyCommand implements Callable<Integer> {
+
+    @Mixin
+    private RunOptions options;
+
+    @Option(names = "--root", defaultValue = ".", paramLabel = "DIR",
+            description = "folder of the project, with the service built (default: ${DEFAULT-VALUE})")
+    private Path root;
+
+    @Option(names = "--seconds", defaultValue = "8", paramLabel = "S",
+            description = "length of each run (default: ${DEFAULT-VALUE})")
+    private int seconds;
+
+    @Override
+    public Integer call() throws IOException, InterruptedException {
+        Progress progress = new Progress();
+        try (LatencyTrial trial = new LatencyTrial(root, options.results("latency"), progress::say)) {
+            trial.run(options.runs, Duration.ofSeconds(seconds));
+        }
+        return 0;
+    }
+}
--- a/lab/src/main/java/passhatch/lab/discovery/DiscoveryServer.java
+++ b/lab/src/main/java/passhatch/lab/discovery/DiscoveryServer.java
@@ -109,7 +109,8 @@
             answers.clear();
             Update update = list.change(changed);
             Answer answer = answer(update);
-            open.forEach(handler -> handler.tell(answer));
+            // A write that fails closes its connection, which then leaves the set.
+            List.copyOf(open).forEach(handler -> handler.tell(answer));
             return update.index();
         });
     }
--- /dev/null
+++ b/lab/src/main/java/passhatch/lab/latency/ServedProxy.java
@@ -0,0 +1,130 @@
+package passhatch.lab.latency;
+
+import com.fasterxml.jackson.jr.ob.JSON;
+import java.io.Closeable;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse.BodyHandlers;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
+
+/** A proxy in a process of its own, started as the deploy file's {@code run} says. */
+final class ServedProxy implements Closeable {
+
+    /** Requests of its only class, which is safe to repeat. */
+    static final String PATH = "/any/1";
+    static final int DEADLINE_MS = 5_000;
+    private static final Duration START = Duration.ofSeconds(30);
+    private static final int POLL_MS = 50;
+    private static final int SOCKETS = 1_024;
+    private static final Pattern RUN = Pattern.compile("(?m)^run\\s*=\\s*\"((?:[^\"\\\\]|\\\\.)*)\"");
+
+    private final Process process;
+    private final InetSocketAddress address;
+    private final Path folder;
+
+    /**
+     * Starts one and waits until it is ready. What it says goes to a file in the folder logs.
+     *
+     * @param root the project's folder, in which {@code run} is started
+     */
+    ServedProxy(Path root, Cores cores, InetSocketAddress discovery)
+            throws IOException, InterruptedException {
+        folder = Files.createTempDirectory("served-proxy");
+        address = freeAddress();
+        Path config = folder.resolve("config.json");
+        Files.writeString(config, JSON.std.asString(config()));
+        ProcessBuilder builder = new ProcessBuilder(cores.onProxys(List.of("/bin/sh", "-c", command(root))));
+        builder.environment().putAll(Map.of("PROXY_NAME", "n0", "PROXY_LISTEN", text(address),
+                "PROXY_DISCOVERY", text(discovery), "PROXY_CONFIG", config.toString(),
+                "TMPDIR", folder.toString()));
+        Path log = Files.createDirectories(root.resolve("logs")).resolve("latency-proxy.log");
+        process = builder.directory(root.toFile()).redirectErrorStream(true).redirectOutput(log.toFile())
+                .start();
+        Runtime.getRuntime().addShutdownHook(new Thread(process::destroyForcibly));
+        awaitReady();
+    }
+
+    /** The command that the deploy file runs proxies with. */
+    static String command(Path root) throws IOException {
+        Matcher run = RUN.matcher(Files.readString(root.resolve("deploy/balancer.toml")));
+        if (!run.find()) {
+            throw new IOException("deploy/balancer.toml has no line 'run'");
+        }
+        return run.group(1).replace("\\\"", "\"").replace("\\\\", "\\");
+    }
+
+    private static Map<String, Object> config() {
+        Map<String, Object> kind = Map.of("name", "any", "effect", "pure", "goalTimeUs", 1_000_000,
+                "deadlineUs", DEADLINE_MS * 1_000, "worth", 1, "group", "all");
+        Map<String, Object> limits = Map.of("maxAttempts", 3, "cancel", true, "mayDuplicate", true,
+                "probes", false, "retryAfter", true, "maxRetryAfterUs", 1_000_000, "maxStreams", 1,
+                "keepaliveUs", 30_000_000, "connectTimeoutUs", 250_000);
+        Map<String, Object> rules = Map.of("drainGraceUs", 2_500_000, "coldFrom", 0.32, "coldUs", 8_600_000,
+                "tipMultiple", 3, "overloadForUs", 3_000_000);
+        return Map.of("seed", "00000000000000ff", "limits", Map.of("sockets", SOCKETS), "settings",
+                Map.of("categories", List.of(kind), "tenants", List.of(), "dcs", List.of("a"),
+                        "machineTypes", List.of("m"), "balancers", 1, "discovery", "pushed",
+                        "limits", limits, "rules", rules));
+    }
+
+    private static String text(InetSocketAddress address) {
+        return address.getAddress().getHostAddress() + ":" + address.getPort();
+    }
+
+    private static InetSocketAddress freeAddress() throws IOException {
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return (InetSocketAddress) free.getLocalSocketAddress();
+        }
+    }
+
+    private void awaitReady() throws IOException, InterruptedException {
+        HttpClient client = HttpClient.newHttpClient();
+        HttpRequest ready = HttpRequest.newBuilder(URI.create("http://" + text(address) + "/ready")).build();
+        long end = System.nanoTime() + START.toNanos();
+        while (System.nanoTime() < end && process.isAlive()) {
+            try {
+                if (client.send(ready, BodyHandlers.discarding()).statusCode() == 200) {
+                    return;
+                }
+            } catch (IOException notYet) {
+                // It does not listen yet.
+            }
+            TimeUnit.MILLISECONDS.sleep(POLL_MS);
+        }
+        close();
+        throw new IOException("the proxy did not get ready; logs/latency-proxy.log says why");
+    }
+
+    InetSocketAddress address() {
+        return address;
+    }
+
+    /** Processor time that it used so far; the system counts in hundredths of a second. */
+    Duration processorTime() {
+        return process.info().totalCpuDuration().orElseThrow();
+    }
+
+    @Override
+    public void close() throws IOException {
+        process.destroyForcibly();
+        try (Stream<Path> inside = Files.walk(folder)) {
+            for (Path file : inside.sorted(Comparator.reverseOrder()).toList()) {
+                Files.delete(file);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/passhatch/lab/latency/StandInBackends.java
@@ -0,0 +1,117 @@
+package passhatch.lab.latency;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.io.Closeable;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/** Backends on loopback that answer every request at once with the same small body, on one thread. */
+public final class StandInBackends implements Closeable {
+
+    private static final int BODY_BYTES = 128;
+    private static final ByteBuf BODY = Unpooled.unreleasableBuffer(
+            Unpooled.wrappedBuffer("x".repeat(BODY_BYTES).getBytes()).asReadOnly());
+
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1,
+            new DefaultThreadFactory("backends", true), NioIoHandler.newFactory());
+    private final List<InetSocketAddress> addresses = new ArrayList<>();
+    /** Touched by the event loop alone: answers held back, and whether they are. */
+    private final List<Runnable> held = new ArrayList<>();
+    private boolean stalled;
+
+    StandInBackends(int count) {
+        ServerBootstrap bootstrap = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel ch) {
+                        ch.pipeline().addLast(new HttpServerCodec(), new Answering());
+                    }
+                });
+        for (int i = 0; i < count; i++) {
+            addresses.add((InetSocketAddress) bootstrap.bind(InetAddress.getLoopbackAddress(), 0)
+                    .syncUninterruptibly().channel().localAddress());
+        }
+    }
+
+    /** Runs as many as the argument says, prints their ports on a line, and ends with standard input. */
+    public static void main(String[] args) throws IOException {
+        try (StandInBackends backends = new StandInBackends(Integer.parseInt(args[0]))) {
+            System.out.println(String.join(" ",
+                    backends.addresses.stream().map(a -> Integer.toString(a.getPort())).toList()));
+            while (System.in.read() >= 0) {
+                // Nothing is said there; its end is what counts.
+            }
+        }
+    }
+
+    List<InetSocketAddress> addresses() {
+        return List.copyOf(addresses);
+    }
+
+    /** Holds all answers back from now on, or gives those held back. */
+    void stall(boolean holds) {
+        group.next().submit(() -> {
+            stalled = holds;
+            if (!holds) {
+                held.forEach(Runnable::run);
+                held.clear();
+            }
+        }).syncUninterruptibly();
+    }
+
+    /** Answers that are held back now. */
+    int heldBack() {
+        return group.next().submit(held::size).syncUninterruptibly().getNow();
+    }
+
+    private final class Answering extends SimpleChannelInboundHandler<HttpObject> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) {
+            if (message instanceof LastHttpContent && stalled) {
+                held.add(() -> answer(ctx));
+            } else if (message instanceof LastHttpContent) {
+                answer(ctx);
+            }
+        }
+
+        private void answer(ChannelHandlerContext ctx) {
+            DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
+                    HttpResponseStatus.OK, BODY.duplicate());
+            response.headers().set(HttpHeaderNames.CONTENT_LENGTH, BODY_BYTES);
+            ctx.writeAndFlush(response);
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+    }
+
+    @Override
+    public void close() {
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+    }
+}
