--- a/lab/src/main/java/passhatch/lab/control/ControlPath.java
+++ b/lab/src/main/java/passhatch/lab/control/ControlPath.java
@@ -79,7 +79,7 @@
         });
     }
 
-    /** Changes so many backends, each in a version of its own, and waits until all are in force everywhere. */
+    /** Changes so many backends, each in a version of its own, and waits until all is in force everywhere. */
     Spell change(int count, Duration most) throws InterruptedException {
         return spell(most, () -> {
             List<Endpoint> changed = turn(count);
--- a/lab/src/main/java/passhatch/lab/control/ProxyFleet.java
+++ b/lab/src/main/java/passhatch/lab/control/ProxyFleet.java
@@ -25,6 +25,8 @@
     private static final long AIM_US = 400_000;
     private static final long DEADLINE_US = 1_000_000;
 
+    private static final PrintStream NO_LOG = new PrintStream(OutputStream.nullOutputStream());
+
     private final MultiThreadIoEventLoopGroup group;
     private final InetSocketAddress discovery;
     private final BackendList backends;
@@ -59,11 +61,11 @@
             int number = proxies++;
             EventLoop loop = group.next();
             loop.execute(() -> new SimulatedProxy(loop, discovery, seed + number, settings(number),
-                    BackendList.ZONES, BackendList.MODELS, new Seen(number), new PrintStream(OutputStream.nullOutputStream())));
+                    BackendList.ZONES, BackendList.MODELS, new Seen(number), NO_LOG));
         }
     }
 
-    /** As many proxies as backends, each with a zone of its own. */
+    /** As many replicas as backends, spread over the zones. */
     private Settings settings(int number) {
         return new SettingsBuilder()
                 .requestClass(new RequestClass("any", AIM_US, DEADLINE_US, 1, 0, Effect.SAFE, DedupGroup.ALL,
--- a/lab/src/main/java/passhatch/lab/discovery/CallQueue.java
+++ b/lab/src/main/java/passhatch/lab/discovery/CallQueue.java
@@ -6,8 +6,8 @@
 import java.util.function.LongSupplier;
 
 /**
- * Calls that are handled one after another, the oldest first. Due times are kept apart from the loop's timers:
- * those ring a millisecond late, which must not add up over calls that take less.
+ * Calls that are handled one after another, the oldest first. Due times are kept apart from the loop's
+ * timers: those ring a millisecond late, which must not add up over calls that take less.
  */
 final class CallQueue {
 
--- a/lab/src/main/java/passhatch/lab/latency/Cores.java
+++ b/lab/src/main/java/passhatch/lab/latency/Cores.java
@@ -105,7 +105,7 @@
 
     @Override
     public String toString() {
-        return pins() ? "proxy pinned to core " + proxy() + ", backends to " + backends() + ", load to " + load()
-                : "nothing pinned";
+        return pins() ? "proxy on " + proxy() + ", backends on " + backends() + ", load on " + load()
+                : "nothing is pinned";
     }
 }
--- a/lab/src/main/java/passhatch/lab/latency/ServedProxy.java
+++ b/lab/src/main/java/passhatch/lab/latency/ServedProxy.java
@@ -27,6 +27,9 @@
     /** Requests of its only class, which is safe to repeat. */
     static final String PATH = "/any/1";
     static final int DEADLINE_MS = 5_000;
+    /** The only zone and machine kind that it is told of. */
+    static final String ZONE = "a";
+    static final String MODEL = "m";
     private static final Duration START = Duration.ofSeconds(30);
     private static final int POLL_MS = 50;
     private static final int SOCKETS = 1_024;
@@ -76,8 +79,8 @@
         Map<String, Object> rules = Map.of("drainGraceUs", 2_500_000, "coldFrom", 0.32, "coldUs", 8_600_000,
                 "tipMultiple", 3, "overloadForUs", 3_000_000);
         return Map.of("seed", "00000000000000ff", "limits", Map.of("sockets", SOCKETS), "settings",
-                Map.of("categories", List.of(kind), "tenants", List.of(), "dcs", List.of("a"),
-                        "machineTypes", List.of("m"), "balancers", 1, "discovery", "pushed",
+                Map.of("categories", List.of(kind), "tenants", List.of(), "dcs", List.of(ZONE),
+                        "machineTypes", List.of(MODEL), "balancers", 1, "discovery", "pushed",
                         "limits", limits, "rules", rules));
     }
 
