--- a/lab/src/main/java/passhatch/lab/ControlCommand.java
+++ b/lab/src/main/java/passhatch/lab/ControlCommand.java
@@ -1,12 +1,13 @@
 package passhatch.lab;
 
 import java.io.IOException;
+import java.lang.management.ManagementFactory;
 import java.time.Duration;
 import java.time.temporal.ChronoUnit;
 import java.util.List;
 import java.util.concurrent.Callable;
 import passhatch.lab.control.ControlTrial;
-import passhatch.lab.control.Size;
+import passhatch.lab.control.WatchSize;
 import passhatch.lab.discovery.CallCosts;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.ITypeConverter;
@@ -27,7 +28,7 @@
     @Option(names = "--sizes", split = ",", converter = SizeConverter.class, paramLabel = "WATCHESxLINES",
             defaultValue = "2000x30,500x300,2000x300,200x3000,8x19000",
             description = "sizes, smaller lists first (default: ${DEFAULT-VALUE})")
-    private List<Size> sizes;
+    private List<WatchSize> sizes;
 
     @Option(names = "--burst", defaultValue = "50", paramLabel = "N",
             description = "backends that change at once (default: ${DEFAULT-VALUE})")
@@ -46,28 +47,33 @@
     private long lineUs;
 
     /** So that picocli names the option at fault. */
-    private static final class SizeConverter implements ITypeConverter<Size> {
+    private static final class SizeConverter implements ITypeConverter<WatchSize> {
         @Override
-        public Size convert(String text) {
-            return Size.of(text);
+        public WatchSize convert(String text) {
+            return WatchSize.of(text);
         }
     }
 
     @Override
     public Integer call() throws IOException, InterruptedException {
-        Results results = options.results("control");
-        Progress progress = new Progress();
-        results.note("Sizes are watches x lines. Simulated proxies (the real loop, discovery client and "
-                + "module) and the stand-in discovery share one process; processor time is that of their "
-                + "event loops' threads. Bytes are those of HTTP, without TCP's own.");
+        measure(options, options.results("control"), new Progress());
+        return 0;
+    }
+
+    /** Measures into the table, with progress on standard error. */
+    public void measure(RunOptions run, Results results, Progress progress)
+            throws IOException, InterruptedException {
+        results.note("Control path: sizes are watches x lines of the list. Simulated proxies (the real loop, "
+                + "discovery client and module) and the stand-in discovery share one process; processor time "
+                + "is that of their event loops' threads. Bytes are those of HTTP, without TCP's own. "
+                + "JVM flags: " + ManagementFactory.getRuntimeMXBean().getInputArguments() + ".");
         results.note("Assumed: discovery takes " + callUs + " us for a call and " + lineUs + " us for each "
                 + "line, one call after another; a call waits " + LONGEST_WAIT.toSeconds() + " s at most, in "
                 + "a queue of " + LONGEST_QUEUE + ". Changes go to open watches at once. After the outage "
                 + "its history is lost.");
         CallCosts costs = new CallCosts(Duration.of(callUs, ChronoUnit.MICROS),
                 Duration.of(lineUs, ChronoUnit.MICROS), LONGEST_WAIT, LONGEST_QUEUE);
-        ControlTrial.Plan plan = new ControlTrial.Plan(options.runs, burst, costs, loops, options.seed);
+        ControlTrial.Plan plan = new ControlTrial.Plan(run.runs, burst, costs, loops, run.seed);
         new ControlTrial(plan, results, progress::say).run(sizes);
-        return 0;
     }
 }
--- a/lab/src/main/java/passhatch/lab/LatencyCommand.java
+++ b/lab/src/main/java/passhatch/lab/LatencyCommand.java
@@ -27,10 +27,15 @@
 
     @Override
     public Integer call() throws IOException, InterruptedException {
-        Progress progress = new Progress();
-        try (LatencyTrial trial = new LatencyTrial(root, options.results("latency"), progress::say)) {
-            trial.run(options.runs, Duration.ofSeconds(seconds));
-        }
+        measure(options, options.results("latency"), new Progress());
         return 0;
     }
+
+    /** Measures into the table, with progress on standard error. */
+    public void measure(RunOptions run, Results results, Progress progress)
+            throws IOException, InterruptedException {
+        try (LatencyTrial trial = new LatencyTrial(root, results, progress::say)) {
+            trial.run(run.runs, Duration.ofSeconds(seconds));
+        }
+    }
 }
--- a/lab/src/main/java/passhatch/lab/control/ControlTrial.java
+++ b/lab/src/main/java/passhatch/lab/control/ControlTrial.java
@@ -24,7 +24,7 @@
     private static final Duration OUTAGE = Duration.ofSeconds(8);
     /** Nothing is waited for longer. */
     private static final Duration MOST = Duration.ofSeconds(40);
-    private static final Size WARM_UP = new Size(100, 300);
+    private static final WatchSize WARM_UP = new WatchSize(100, 300);
     private static final int WARM_UP_ROUNDS = 2;
     /** Both ends of a connection are in this process. */
     private static final int ENDS = 2;
@@ -53,10 +53,10 @@
     }
 
     /** Measures at each size in turn, and how figures grew from the one to the next. */
-    public void run(Iterable<Size> sizes) throws IOException, InterruptedException {
+    public void run(Iterable<WatchSize> sizes) throws IOException, InterruptedException {
         warmUp();
         Figures before = null;
-        for (Size size : sizes) {
+        for (WatchSize size : sizes) {
             Figures figures = measure(size);
             if (before != null) {
                 figures.slopesInto(results, before);
@@ -78,19 +78,19 @@
         }
     }
 
-    private ControlPath path(Size size) {
+    private ControlPath path(WatchSize size) {
         return new ControlPath(size.lines(), plan.costs(), plan.loops(), plan.seed());
     }
 
-    private Figures measure(Size asked) throws IOException, InterruptedException {
+    private Figures measure(WatchSize asked) throws IOException, InterruptedException {
         int most = (int) Math.min(asked.watches(), (Descriptors.free() - OTHER_DESCRIPTORS) / ENDS);
         long emptyHeap = LiveHeap.bytes();
         try (ControlPath path = path(asked)) {
-            progress.accept(asked + " (watches x lines): opening");
+            progress.accept(asked + ": opening");
             Spell open = path.open(most, MOST);
-            Size size = new Size(path.watches(), asked.lines());
+            WatchSize size = new WatchSize(path.watches(), asked.lines());
             if (size.watches() < asked.watches()) {
-                results.note("Of " + asked + " (watches x lines), " + size.watches() + " were open after "
+                results.note("Of " + asked + ", " + size.watches() + " were open after "
                         + MOST.toSeconds() + " s, with descriptors for " + most + ".");
             }
             Figures figures = new Figures(size);
@@ -110,7 +110,7 @@
         }
     }
 
-    private void changes(ControlPath path, Figures figures, Size size) throws InterruptedException {
+    private void changes(ControlPath path, Figures figures, WatchSize size) throws InterruptedException {
         for (int run = 1; run <= plan.runs(); run++) {
             progress.accept(size + ": at rest and one change, run " + run);
             idle(figures, path.idle(BETWEEN_CHANGES), size.watches());
--- a/lab/src/main/java/passhatch/lab/control/Figures.java
+++ b/lab/src/main/java/passhatch/lab/control/Figures.java
@@ -23,11 +23,11 @@
 
     private record Figure(GrowsWith growsWith, String unit, List<Double> runs) { }
 
-    private final Size size;
+    private final WatchSize size;
     private final Map<String, Figure> figures = new LinkedHashMap<>();
     private final Set<String> written = new HashSet<>();
 
-    Figures(Size size) {
+    Figures(WatchSize size) {
         this.size = size;
     }
 
--- a/lab/src/main/java/passhatch/lab/control/ProxyFleet.java
+++ b/lab/src/main/java/passhatch/lab/control/ProxyFleet.java
@@ -17,7 +17,7 @@
 import passhatch.Balancer.Server;
 import passhatch.Balancer.Settings;
 import passhatch.SettingsBuilder;
-import passhatch.proxy.SimulatedProxy;
+import passhatch.proxy.WatchingProxy;
 
 /** Simulated proxies that watch one discovery, many to an event loop. */
 final class ProxyFleet implements Closeable {
@@ -60,7 +60,7 @@
         for (int i = 0; i < more; i++) {
             int number = proxies++;
             EventLoop loop = group.next();
-            loop.execute(() -> new SimulatedProxy(loop, discovery, seed + number, settings(number),
+            loop.execute(() -> new WatchingProxy(loop, discovery, seed + number, settings(number),
                     BackendList.ZONES, BackendList.MODELS, new Seen(number), NO_LOG));
         }
     }
@@ -76,7 +76,7 @@
     }
 
     /** What one proxy's module takes in. */
-    private final class Seen implements SimulatedProxy.Observer {
+    private final class Seen implements WatchingProxy.Observer {
         private final int number;
 
         Seen(int number) {
--- a/lab/src/main/java/passhatch/lab/control/Size.java
+++ b/lab/src/main/java/passhatch/lab/control/WatchSize.java
@@ -6,15 +6,15 @@
  * @param watches proxies, each with one watch
  * @param lines backends in the list
  */
-public record Size(int watches, int lines) {
+public record WatchSize(int watches, int lines) {
 
     /** Reads a text like 2000x300. */
-    public static Size of(String text) {
+    public static WatchSize of(String text) {
         String[] parts = text.split("x");
         if (parts.length != 2) {
             throw new IllegalArgumentException("'" + text + "' is not WATCHESxLINES");
         }
-        Size size = new Size(Integer.parseInt(parts[0]), Integer.parseInt(parts[1]));
+        WatchSize size = new WatchSize(Integer.parseInt(parts[0]), Integer.parseInt(parts[1]));
         if (size.watches < 1 || size.lines < 1) {
             throw new IllegalArgumentException("'" + text + "' must be above 0");
         }
@@ -23,6 +23,6 @@
 
     @Override
     public String toString() {
-        return watches + " x " + lines;
+        return watches + " watches x " + lines;
     }
 }
--- a/lab/src/main/java/passhatch/lab/latency/Cores.java
+++ b/lab/src/main/java/passhatch/lab/latency/Cores.java
@@ -5,7 +5,6 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 
@@ -68,8 +67,7 @@
     }
 
     private String load() {
-        return allowed.size() == 2 ? backends() : allowed.subList(2, allowed.size()).stream()
-                .map(String::valueOf).collect(Collectors.joining(","));
+        return allowed.size() == 2 ? backends() : list(allowed.subList(2, allowed.size()));
     }
 
     /** The command on the proxy's core. */
@@ -92,17 +90,32 @@
     }
 
     /** Keeps this process, which is the load, to its own cores. */
-    void keepLoadApart() throws IOException, InterruptedException {
+    void keepLoadApart() throws IOException {
         if (pins()) {
-            Process taskset = new ProcessBuilder("taskset", "-a", "-c", "-p", load(),
-                    Long.toString(ProcessHandle.current().pid()))
-                    .redirectOutput(ProcessBuilder.Redirect.DISCARD).redirectErrorStream(true).start();
-            if (!taskset.waitFor(10, TimeUnit.SECONDS) || taskset.exitValue() != 0) {
-                throw new IOException("taskset could not pin the load to " + load());
-            }
+            pinThisProcess(load());
         }
     }
 
+    /** Lets this process use all its cores again. */
+    void release() throws IOException {
+        if (pins()) {
+            pinThisProcess(list(allowed));
+        }
+    }
+
+    private static void pinThisProcess(String cores) throws IOException {
+        Process taskset = new ProcessBuilder("taskset", "-a", "-c", "-p", cores,
+                Long.toString(ProcessHandle.current().pid()))
+                .redirectOutput(ProcessBuilder.Redirect.DISCARD).redirectErrorStream(true).start();
+        if (taskset.onExit().join().exitValue() != 0) {
+            throw new IOException("taskset could not pin this process to " + cores);
+        }
+    }
+
+    private static String list(List<Integer> cores) {
+        return cores.stream().map(String::valueOf).collect(Collectors.joining(","));
+    }
+
     @Override
     public String toString() {
         return pins() ? "proxy on " + proxy() + ", backends on " + backends() + ", load on " + load()
--- a/lab/src/main/java/passhatch/lab/latency/LatencyTrial.java
+++ b/lab/src/main/java/passhatch/lab/latency/LatencyTrial.java
@@ -41,6 +41,7 @@
 
     private final Results results;
     private final Consumer<String> progress;
+    private final Cores cores;
     private final ChildBackends backends;
     private final DiscoveryServer discovery;
     private final ServedProxy proxy;
@@ -76,7 +77,7 @@
             throws IOException, InterruptedException {
         this.results = results;
         this.progress = progress;
-        Cores cores = Cores.allowed();
+        cores = Cores.allowed();
         cores.keepLoadApart();
         progress.accept("starting the proxy; " + cores);
         backends = new ChildBackends(BACKENDS, cores);
@@ -92,8 +93,8 @@
         boolean archive = Files.exists(root.resolve("target/passhatch.jsa"));
         results.note("The proxy was started with: `" + ServedProxy.command(root) + "`; the class archive "
                 + (archive ? "was" : "was not") + " there.");
-        results.note("Cores: " + cores + ". Calls are GET without a body; " + BACKENDS + " backends in one "
-                + "process answer at once.");
+        results.note("Latency of calls. Cores: " + cores + ". Calls are GET without a body; " + BACKENDS
+                + " backends in one process answer at once.");
         results.note("Arrivals are planned ahead at even distances; latency counts from the planned time. "
                 + "What is added is the difference of the two percentiles, not a percentile of differences.");
     }
@@ -151,7 +152,7 @@
         results.add("requests for a second of the proxy's processor time", "ramp", "1/s",
                 capacity.perCoreSecond());
         results.add("highest rate kept up with", "ramp", "1/s", capacity.keptUp());
-        results.add("share of its core that this took", "ramp", "", kept.busy());
+        results.add("share of the proxy's core that this took", "ramp", "", kept.busy());
         results.note("The ramp, each step tried twice at most, ended at " + end + ". Capacity is taken from "
                 + "the processor time of the last step kept up with; loads are never above its rate.");
         return capacity;
@@ -185,19 +186,19 @@
         LoadResult with = step.load();
         figures.add("processor time of the proxy a request", "us",
                 step.processorSeconds() * 1e6 / Math.max(1, with.served()));
-        figures.add("share of its core", "", step.busy());
+        figures.add("share of the proxy's core", "", step.busy());
         for (double percentile : new double[] {50, 99}) {
             String name = Math.round(percentile) + "th percentile";
             double through = with.latencyUs().getValueAtPercentile(percentile);
             double directly = without.latencyUs().getValueAtPercentile(percentile);
-            figures.add(name + ", directly", "us", directly);
-            figures.add(name + ", through the proxy", "us", through);
-            figures.add(name + ", added", "us", through - directly);
+            figures.add("latency, " + name + ", directly", "us", directly);
+            figures.add("latency, " + name + ", through the proxy", "us", through);
+            figures.add("latency, " + name + ", added", "us", through - directly);
         }
-        figures.add("planned", "", with.planned());
-        figures.add("sent through the proxy", "", with.sent());
-        figures.add("not served through the proxy", "", with.planned() - with.served());
-        figures.add("not served directly", "", without.planned() - without.served());
+        figures.add("requests planned", "", with.planned());
+        figures.add("requests sent through the proxy", "", with.sent());
+        figures.add("requests not served through the proxy", "", with.planned() - with.served());
+        figures.add("requests not served directly", "", without.planned() - without.served());
         figures.add("load late at the 99th percentile", "us", with.lateUs().getValueAtPercentile(99));
     }
 
@@ -208,5 +209,6 @@
         proxy.close();
         discovery.close();
         backends.close();
+        cores.release();
     }
 }
--- a/lab/src/main/java/passhatch/proxy/ObservedBalancer.java
+++ b/lab/src/main/java/passhatch/proxy/ObservedBalancer.java
@@ -7,9 +7,9 @@
 final class ObservedBalancer implements Balancer {
 
     private final Balancer balancer;
-    private final SimulatedProxy.Observer observer;
+    private final WatchingProxy.Observer observer;
 
-    ObservedBalancer(Balancer balancer, SimulatedProxy.Observer observer) {
+    ObservedBalancer(Balancer balancer, WatchingProxy.Observer observer) {
         this.balancer = balancer;
         this.observer = observer;
     }
--- a/lab/src/main/java/passhatch/proxy/SimulatedProxy.java
+++ b/lab/src/main/java/passhatch/proxy/WatchingProxy.java
@@ -13,7 +13,7 @@
  * The control path of one proxy, in this process: its real loop, discovery client and decision module, with
  * no listener and so no requests. It lies in this package as the service keeps these classes to itself.
  */
-public final class SimulatedProxy {
+public final class WatchingProxy {
 
     private static final long CONNECT_TIMEOUT_US = 250_000;
     /** Backend connections that it may hold; it opens none. */
@@ -35,7 +35,7 @@
      * @param models names of the machine kinds, by position
      * @param log takes the lines of the event log
      */
-    public SimulatedProxy(EventLoop loop, InetSocketAddress discovery, long seed, Settings settings,
+    public WatchingProxy(EventLoop loop, InetSocketAddress discovery, long seed, Settings settings,
             List<String> zones, List<String> models, Observer observer, PrintStream log) {
         ProxyConfig config = new ProxyConfig("simulated", new InetSocketAddress(
                 InetAddress.getLoopbackAddress(), 0), discovery, seed, settings, List.of("any"), List.of(),
