--- a/lab/src/main/java/passhatch/lab/discovery/DiscoveryServer.java
+++ b/lab/src/main/java/passhatch/lab/discovery/DiscoveryServer.java
@@ -155,7 +155,7 @@
     }
 
     /** Dies: what is open is reset, new connections are refused. */
-    public void goDown() {
+    public synchronized void goDown() {
         inLoop(acceptor::close).syncUninterruptibly();
         inLoop(() -> {
             queue.clear();
@@ -169,7 +169,7 @@
      *
      * @param remembering whether it still knows what changed since earlier versions
      */
-    public void comeBack(boolean remembering) {
+    public synchronized void comeBack(boolean remembering) {
         inLoop(() -> {
             if (!remembering) {
                 list.forgetHistory();
--- /dev/null
+++ b/lab/src/test/java/passhatch/lab/latency/ServedProxyTest.java
@@ -0,0 +1,34 @@
+package passhatch.lab.latency;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import passhatch.lab.discovery.CallCosts;
+import passhatch.lab.discovery.DiscoveryListener;
+import passhatch.lab.discovery.DiscoveryServer;
+import passhatch.lab.discovery.Endpoint;
+
+/** The whole way of a measured call, with the proxy as the deploy file runs it. */
+@Timeout(120)
+final class ServedProxyTest {
+
+    @Test
+    void everyPlannedRequestGoesThroughTheProxyAndEnds() throws Exception {
+        try (StandInBackends backends = new StandInBackends(1);
+                DiscoveryServer discovery = new DiscoveryServer(List.of(Endpoint.serving("s",
+                        "127.0.0.1:" + backends.addresses().get(0).getPort(), ServedProxy.ZONE,
+                        ServedProxy.MODEL, 0)), CallCosts.NONE, false, DiscoveryListener.NONE);
+                ServedProxy proxy = new ServedProxy(Path.of(".."), Cores.allowed(), discovery.address());
+                OpenLoopLoad load = new OpenLoopLoad(proxy.address(), 50, 1)) {
+            LoadResult result = load.run(100, Duration.ofMillis(500), Duration.ofSeconds(60));
+            assertEquals(List.of(50, 50, 50), List.of(result.planned(), result.sent(), result.ended()));
+            assertTrue(result.served() > 25, () -> result.served() + " served");
+            assertTrue(proxy.processorTime().toNanos() > 0);
+        }
+    }
+}
