--- a/lab/src/main/java/passhatch/lab/control/ControlTrial.java
+++ b/lab/src/main/java/passhatch/lab/control/ControlTrial.java
@@ -84,7 +84,7 @@
 
     private Figures measure(WatchSize asked) throws IOException, InterruptedException {
         int most = (int) Math.min(asked.watches(), (Descriptors.free() - OTHER_DESCRIPTORS) / ENDS);
-        long emptyHeap = LiveHeap.bytes();
+        long emptyHeap = LiveHeap.settledBytes();
         try (ControlPath path = path(asked)) {
             progress.accept(asked + ": opening");
             Spell open = path.open(most, MOST);
@@ -95,7 +95,7 @@
             }
             Figures figures = new Figures(size);
             figures.add(LINES, "heap a proxy, with the stand-in's end of its connection", "bytes",
-                    (double) (LiveHeap.bytes() - emptyHeap) / size.watches());
+                    (double) (LiveHeap.settledBytes() - emptyHeap) / size.watches());
             figures.add(LINES, "whole list on the wire", "bytes", path.wholeListBytes());
             processorTime(figures, "first list and watch", open, size.watches());
             changes(path, figures, size);
