--- a/lab/src/main/java/passhatch/lab/AllCommand.java
+++ b/lab/src/main/java/passhatch/lab/AllCommand.java
@@ -20,7 +20,9 @@
         Progress progress = new Progress();
         List<Part> parts = List.of(
                 new ModuleCommand(),
-                new FleetCommand());
+                new FleetCommand(),
+                new ControlCommand(),
+                new LatencyCommand());
         for (Part part : parts) {
             CommandLine.populateCommand(part);
             part.measure(options, results, progress);
--- a/lab/src/main/java/passhatch/lab/ControlCommand.java
+++ b/lab/src/main/java/passhatch/lab/ControlCommand.java
@@ -17,7 +17,7 @@
 /** Measures the control path: simulated proxies that watch a stand-in discovery over loopback sockets. */
 @Command(name = "control", mixinStandardHelpOptions = true,
         description = "The control path: what watches, changes and watches opened anew cost.")
-final class ControlCommand implements Callable<Integer> {
+final class ControlCommand implements Callable<Integer>, Part {
 
     private static final Duration LONGEST_WAIT = Duration.ofSeconds(2);
     private static final int LONGEST_QUEUE = 4_096;
@@ -60,7 +60,7 @@
         return 0;
     }
 
-    /** Measures into the table, with progress on standard error. */
+    @Override
     public void measure(RunOptions run, Results results, Progress progress)
             throws IOException, InterruptedException {
         results.note("Control path: sizes are watches x lines of the list. Simulated proxies (the real loop, "
--- a/lab/src/main/java/passhatch/lab/LatencyCommand.java
+++ b/lab/src/main/java/passhatch/lab/LatencyCommand.java
@@ -12,7 +12,7 @@
 /** Measures what a proxy in a process of its own adds to a call. */
 @Command(name = "latency", mixinStandardHelpOptions = true,
         description = "What the proxy adds to a call: processor time, 50th and 99th percentile, open loop.")
-final class LatencyCommand implements Callable<Integer> {
+final class LatencyCommand implements Callable<Integer>, Part {
 
     @Mixin
     private RunOptions options;
@@ -31,7 +31,7 @@
         return 0;
     }
 
-    /** Measures into the table, with progress on standard error. */
+    @Override
     public void measure(RunOptions run, Results results, Progress progress)
             throws IOException, InterruptedException {
         try (LatencyTrial trial = new LatencyTrial(root, results, progress::say)) {
