--- a/lab/src/main/java/passhatch/lab/ControlCommand.java
+++ b/lab/src/main/java/passhatch/lab/ControlCommand.java
@@ -19,7 +19,7 @@
         description = "The control path: what watches, changes and watches opened anew cost.")
 final class ControlCommand implements Callable<Integer>, Part {
 
-    private static final Duration LONGEST_WAIT = Duration.ofSeconds(2);
+    private static final Duration LONGEST_WAIT = Duration.ofSeconds(3);
     private static final int LONGEST_QUEUE = 4_096;
 
     @Mixin
@@ -42,10 +42,14 @@
             description = "time that discovery takes for a call (default: ${DEFAULT-VALUE})")
     private long callUs;
 
-    @Option(names = "--line-us", defaultValue = "1", paramLabel = "US",
+    @Option(names = "--line-us", defaultValue = "4", paramLabel = "US",
             description = "and for each line of its answer (default: ${DEFAULT-VALUE})")
     private long lineUs;
 
+    @Option(names = "--pushed",
+            description = "proxies take discovery for one that pushes, and repeat calls without the module")
+    private boolean pushed;
+
     /** So that picocli names the option at fault. */
     private static final class SizeConverter implements ITypeConverter<WatchSize> {
         @Override
@@ -66,6 +70,7 @@
         results.note("Control path: sizes are watches x lines of the list. Simulated proxies (the real loop, "
                 + "discovery client and module) and the stand-in discovery share one process; processor time "
                 + "is that of their event loops' threads. Bytes are those of HTTP, without TCP's own. "
+                + "Discovery " + (pushed ? "counts as one that pushes. " : "is asked, as the module says. ")
                 + "JVM flags: " + ManagementFactory.getRuntimeMXBean().getInputArguments() + ".");
         results.note("Assumed: discovery takes " + callUs + " us for a call and " + lineUs + " us for each "
                 + "line, one call after another; a call waits " + LONGEST_WAIT.toSeconds() + " s at most, in "
@@ -73,7 +78,7 @@
                 + "its history is lost.");
         CallCosts costs = new CallCosts(Duration.of(callUs, ChronoUnit.MICROS),
                 Duration.of(lineUs, ChronoUnit.MICROS), LONGEST_WAIT, LONGEST_QUEUE);
-        ControlTrial.Plan plan = new ControlTrial.Plan(run.runs, burst, costs, loops, run.seed);
+        ControlTrial.Plan plan = new ControlTrial.Plan(run.runs, burst, costs, loops, pushed, run.seed);
         new ControlTrial(plan, results, progress::say).run(sizes);
     }
 }
--- a/lab/src/main/java/passhatch/lab/control/ControlPath.java
+++ b/lab/src/main/java/passhatch/lab/control/ControlPath.java
@@ -49,11 +49,13 @@
      * Starts discovery with a list of so many backends, and no proxy yet.
      *
      * @param loops event loops, and so threads, of the proxies
+     * @param pushed whether proxies take discovery for one that pushes
+     * @param seed of the first proxy
      */
-    ControlPath(int backends, CallCosts costs, int loops, long seed) {
+    ControlPath(int backends, CallCosts costs, int loops, boolean pushed, long seed) {
         this.backends = new BackendList(backends);
         this.discovery = new DiscoveryServer(this.backends.all(), costs, false, calls);
-        this.fleet = new ProxyFleet(loops, discovery.address(), this.backends, seed);
+        this.fleet = new ProxyFleet(loops, discovery.address(), this.backends, pushed, seed);
         this.discoveryTime = new ProcessorTime(List.of(discovery.loop()));
         this.proxiesTime = fleet.processorTime();
     }
--- a/lab/src/main/java/passhatch/lab/control/ControlTrial.java
+++ b/lab/src/main/java/passhatch/lab/control/ControlTrial.java
@@ -41,9 +41,10 @@
      * @param burst backends that change at once, at most all
      * @param costs of calls at discovery
      * @param loops event loops of the proxies
+     * @param pushed whether proxies take discovery for one that pushes
      * @param seed of the first proxy
      */
-    public record Plan(int runs, int burst, CallCosts costs, int loops, long seed) { }
+    public record Plan(int runs, int burst, CallCosts costs, int loops, boolean pushed, long seed) { }
 
     /** Measures by the plan, into the table. */
     public ControlTrial(Plan plan, Results results, Consumer<String> progress) {
@@ -79,7 +80,8 @@
     }
 
     private ControlPath path(WatchSize size) {
-        return new ControlPath(size.lines(), plan.costs(), plan.loops(), plan.seed());
+        return new ControlPath(size.lines(), plan.costs(), plan.loops(), plan.pushed(),
+                plan.seed());
     }
 
     private Figures measure(WatchSize asked) throws IOException, InterruptedException {
--- a/lab/src/main/java/passhatch/lab/control/ProxyFleet.java
+++ b/lab/src/main/java/passhatch/lab/control/ProxyFleet.java
@@ -14,6 +14,7 @@
 import passhatch.Balancer.Effect;
 import passhatch.Balancer.ListKind;
 import passhatch.Balancer.RequestClass;
+import passhatch.Balancer.Rules;
 import passhatch.Balancer.Server;
 import passhatch.Balancer.Settings;
 import passhatch.SettingsBuilder;
@@ -24,21 +25,37 @@
 
     private static final long AIM_US = 400_000;
     private static final long DEADLINE_US = 1_000_000;
+    /** The rules of a site in service; a proxy that has to ask discovery may go without for 10 s. */
+    private static final long ASK_WITHIN_US = 10_000_000;
+    private static final long DRAIN_GRACE_US = 2_500_000;
+    private static final double COLD_FROM = 0.32;
+    private static final long COLD_US = 8_600_000;
+    private static final double TIP_MULTIPLE = 3;
+    private static final long OVERLOAD_US = 3_000_000;
 
     private static final PrintStream NO_LOG = new PrintStream(OutputStream.nullOutputStream());
 
     private final MultiThreadIoEventLoopGroup group;
     private final InetSocketAddress discovery;
     private final BackendList backends;
+    private final boolean pushed;
     private final long seed;
     private volatile Propagation propagation;
     private int proxies;
 
-    ProxyFleet(int loops, InetSocketAddress discovery, BackendList backends, long seed) {
+    /**
+     * No proxy yet.
+     *
+     * @param pushed whether discovery counts as one that pushes: then the client repeats its calls by itself,
+     *     else the module says when
+     * @param seed of the first proxy
+     */
+    ProxyFleet(int loops, InetSocketAddress discovery, BackendList backends, boolean pushed, long seed) {
         this.group = new MultiThreadIoEventLoopGroup(loops, new DefaultThreadFactory("proxies", true),
                 NioIoHandler.newFactory());
         this.discovery = discovery;
         this.backends = backends;
+        this.pushed = pushed;
         this.seed = seed;
     }
 
@@ -70,6 +87,9 @@
         return new SettingsBuilder()
                 .requestClass(new RequestClass("any", AIM_US, DEADLINE_US, 1, 0, Effect.SAFE, DedupGroup.ALL,
                         0))
+                .rules(new Rules(DRAIN_GRACE_US, pushed ? 0 : ASK_WITHIN_US, COLD_FROM, COLD_US, TIP_MULTIPLE,
+                        OVERLOAD_US))
+                .watch(!pushed)
                 .copies(backends.size(), number % backends.size())
                 .zone(number % BackendList.ZONES.size())
                 .build();
--- a/lab/src/main/java/passhatch/lab/latency/LatencyTrial.java
+++ b/lab/src/main/java/passhatch/lab/latency/LatencyTrial.java
@@ -152,8 +152,8 @@
         results.add("highest rate kept up with", "ramp", "1/s", capacity.keptUp());
         results.add("share of the proxy's core that this took", "ramp", "", kept.busy());
         results.note("The ramp, each step tried twice at most, ended at " + end + ". Capacity is taken from "
-                + "the processor time of the last step kept up with, or of the first; loads are never above its "
-                + "rate.");
+                + "the processor time of the last step kept up with, or of the first; loads are never above "
+                + "its rate.");
         return capacity;
     }
 
--- a/lab/src/test/java/passhatch/lab/control/ControlPathTest.java
+++ b/lab/src/test/java/passhatch/lab/control/ControlPathTest.java
@@ -25,7 +25,7 @@
     private static final int LINES = 60;
     private static final Duration MOST = Duration.ofSeconds(60);
 
-    private final ControlPath path = new ControlPath(LINES, CallCosts.NONE, 2, 1);
+    private final ControlPath path = new ControlPath(LINES, CallCosts.NONE, 2, false, 1);
 
     @BeforeEach
     void open() throws InterruptedException {
