--- a/lab/src/main/java/passhatch/lab/control/ControlPath.java
+++ b/lab/src/main/java/passhatch/lab/control/ControlPath.java
@@ -3,6 +3,7 @@
 import java.io.Closeable;
 import java.io.IOException;
 import java.io.OutputStream;
+import java.lang.ref.WeakReference;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -155,6 +156,11 @@
         return discovery;
     }
 
+    /** The proxies, for telling when nothing holds them any more; each of them refers to it. */
+    WeakReference<ProxyFleet> fleet() {
+        return new WeakReference<>(fleet);
+    }
+
     CallLog calls() {
         return calls;
     }
--- a/lab/src/main/java/passhatch/lab/control/ControlTrial.java
+++ b/lab/src/main/java/passhatch/lab/control/ControlTrial.java
@@ -5,6 +5,7 @@
 import static passhatch.lab.control.Figures.GrowsWith.WATCHES;
 
 import java.io.IOException;
+import java.lang.ref.WeakReference;
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -33,6 +34,8 @@
     private final Plan plan;
     private final Results results;
     private final Consumer<String> progress;
+    /** Is cleared once nothing of the size before is held any more. */
+    private WeakReference<?> closed = new WeakReference<>(null);
 
     /**
      * How to measure.
@@ -76,6 +79,7 @@
                 path.recover(Fault.RESET, OUTAGE, MOST);
                 path.recover(Fault.OUTAGE, Duration.ZERO, MOST);
             }
+            closed = path.fleet();
         }
     }
 
@@ -86,7 +90,7 @@
 
     private Figures measure(WatchSize asked) throws IOException, InterruptedException {
         int most = (int) Math.min(asked.watches(), (Descriptors.free() - OTHER_DESCRIPTORS) / ENDS);
-        long emptyHeap = LiveHeap.settledBytes();
+        long emptyHeap = LiveHeap.bytesWithout(closed);
         try (ControlPath path = path(asked)) {
             progress.accept(asked + ": opening");
             Spell open = path.open(most, MOST);
@@ -96,8 +100,9 @@
                         + MOST.toSeconds() + " s, with descriptors for " + most + ".");
             }
             Figures figures = new Figures(size);
+            closed = path.fleet();
             figures.add(LINES, "heap a proxy, with the stand-in's end of its connection", "bytes",
-                    (double) (LiveHeap.settledBytes() - emptyHeap) / size.watches());
+                    (double) (LiveHeap.bytes() - emptyHeap) / size.watches());
             figures.add(LINES, "whole list on the wire", "bytes", path.wholeListBytes());
             processorTime(figures, "first list and watch", open, size.watches());
             changes(path, figures, size);
--- a/lab/src/main/java/passhatch/lab/control/LiveHeap.java
+++ b/lab/src/main/java/passhatch/lab/control/LiveHeap.java
@@ -1,34 +1,33 @@
 package passhatch.lab.control;
 
+import java.lang.ref.WeakReference;
 import java.util.concurrent.TimeUnit;
 
 /** What is alive in this process's heap. */
 final class LiveHeap {
 
-    /** Threads that end let go of what they hold only some time after they were told to. */
-    private static final long PAUSE_MS = 500;
-    private static final int MOST_PAUSES = 8;
-    private static final double SETTLED = 0.99;
+    private static final long PAUSE_MS = 250;
+    private static final int MOST_PAUSES = 40;
 
     private LiveHeap() { }
 
-    /** Bytes, after full collections, once no more is let go of. */
-    static long settledBytes() throws InterruptedException {
-        long before = bytes();
-        for (int i = 0; i < MOST_PAUSES; i++) {
-            TimeUnit.MILLISECONDS.sleep(PAUSE_MS);
-            long now = bytes();
-            if (now > before * SETTLED) {
-                return now;
-            }
-            before = now;
-        }
-        return before;
-    }
-
-    private static long bytes() {
+    /** Bytes, after a full collection. */
+    static long bytes() {
         System.gc();
         Runtime runtime = Runtime.getRuntime();
         return runtime.totalMemory() - runtime.freeMemory();
     }
+
+    /**
+     * The same once what was closed before is no longer held: event loops that were told to end let go of it
+     * some time later.
+     */
+    static long bytesWithout(WeakReference<?> closed) throws InterruptedException {
+        long bytes = bytes();
+        for (int i = 0; i < MOST_PAUSES && closed.get() != null; i++) {
+            TimeUnit.MILLISECONDS.sleep(PAUSE_MS);
+            bytes = bytes();
+        }
+        return bytes;
+    }
 }
