--- a/lab/src/main/java/passhatch/lab/Lab.java
+++ b/lab/src/main/java/passhatch/lab/Lab.java
@@ -10,6 +10,8 @@
             AllCommand.class,
             ModuleCommand.class,
             FleetCommand.class,
+            ControlCommand.class,
+            LatencyCommand.class,
         })
 public final class Lab {
 
