--- a/lab/src/main/java/passhatch/lab/ControlCommand.java
+++ b/lab/src/main/java/passhatch/lab/ControlCommand.java
@@ -27,7 +27,8 @@
 
     @Option(names = "--sizes", split = ",", converter = SizeConverter.class, paramLabel = "WATCHESxLINES",
             defaultValue = "2000x30,500x300,2000x300,100x3000,4x19000",
-            description = "sizes, smaller lists first (default: ${DEFAULT-VALUE})")
+            description = "sizes, smaller lists first; one before another with the same list is measured "
+                    + "only for its slope (default: ${DEFAULT-VALUE})")
     private List<WatchSize> sizes;
 
     @Option(names = "--burst", defaultValue = "50", paramLabel = "N",
