--- a/src/main/java/passhatch/Logic.java
+++ b/src/main/java/passhatch/Logic.java
@@ -2,15 +2,10 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.HashMap;
-import java.util.HashSet;
-import java.util.Iterator;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
-import java.util.Set;
 import java.util.SplittableRandom;
 
 /**
@@ -28,10 +23,6 @@
     private static final double CHANCE_STREAK = 0.001;
     /** How long a server rests: a few tries a minute do no harm, and a restart takes some seconds. */
     private static final long FAIL_TIMEOUT_US = 3_000_000;
-    /** Further attempts earned by each request, so that retries add a tenth of load at most for long. */
-    private static final double RETRY_EARNED = 0.1;
-    /** Further attempts that may be saved up for a burst of failures. */
-    private static final double RETRY_SAVED = 5;
     /** First pause before discovery is asked again; doubled at each failure. */
     private static final long ASK_AGAIN_US = 250_000;
     /** Part of the whole that probes may cost over all tiers; where two a call are dearer, none is sent. */
@@ -58,26 +49,16 @@
     private static final double JOINT_CALLS = 4;
     /** More are sent while the next should take under so many times the calm time; 2 to 3 do alike. */
     private static final double CALM = 2.3;
-    /** And while calls on the whole take less than this multiple: a burst after calm is no crowd. */
-    private static final double TENSE = 1.3;
-    /** Part by which the calm time grows at each answer: what was calm thousands of calls ago may not be. */
-    private static final double CALM_GROWTH = 0.0003;
     /** Classes worth up to so many times the least are not favoured: they may be half of all traffic. */
     private static final double FAVOURED = 4;
     /** A server's turn comes at most this many times as seldom, or as often, as the usual one's. */
     private static final double MOST_SLOWNESS = 20;
     /** The part of what would push a cold server over that all copies together may send it. */
     private static final double COLD_MARGIN = 0.5;
-    /** A call that has less time left than this part of the calls take is hopeless. */
-    private static final double QUICK = 0.3;
-    /** What is usual is at most this multiple of what is quick. */
-    private static final double USUAL = 2;
     /**
      * A held call must have this multiple of a usual call left: sent at the last moment, half would be late.
      */
     private static final double HELD_MARGIN = 1.4;
-    /** Step of that quantile's running estimate. */
-    private static final double QUICK_STEP = 0.05;
     /** A rest is doubled at each further failure, so many times at most. */
     private static final int MOST_DOUBLINGS = 4;
     /** A call counts as overdue after this many times the expected, as the times of calls spread widely. */
@@ -96,8 +77,6 @@
     private static final double BEYOND_CHANCE = 4;
     /** A slow server is tried again after this long at the latest, as it may have recovered. */
     private static final double MOST_LATE_US = 24_000_000;
-    /** A tenant may send as much at once as its share is in this time, in which a copy may restart. */
-    private static final double SHARE_SAVED_US = 5_000_000;
     /** The load of a server that turned a call away as full. */
     private static final int FULL_LOAD = 1000;
     /** Copies that share a server, where only their own calls tell its load: they should see most of it. */
@@ -108,12 +87,6 @@
     private static final int LEAST_TOLD = 24;
     /** A server put back by hand is tried within this time, where any call may go there. */
     private static final long RETURN_US = 2_000_000;
-    /** At most one line for the operator in this time: trouble comes in crowds. */
-    private static final long SAY_AGAIN_US = 10_000_000;
-    /** Servers remembered as once listed; ever new ones come, and what nobody forgets grows for good. */
-    private static final int MOST_NAMED = 4096;
-    /** Weight of the newest value in a running mean. */
-    private static final double MEAN_WEIGHT = 0.1;
     /** Queued calls of a class that are refused before the older ones are passed over. */
     private static final int REFUSALS = 3;
 
@@ -122,19 +95,12 @@
 
     private final Settings settings;
     private final Actions actions;
+    private final OperatorLog log;
     private final SplittableRandom random;
     private final Map<String, Backend> byId = new HashMap<>();
     private final List<Backend> servers = new ArrayList<>();
-    /** All that the latest list names, and all that lists ever named, the earliest named first. */
-    private final Set<String> inList = new HashSet<>();
-    private final Set<String> named = new LinkedHashSet<>();
-    /** Servers taken out by hand. They are kept beside the list, so that no list brings one back. */
-    private final Set<String> out = new HashSet<>();
-    /**
-     * Servers put back by hand that no call has reached since; by id, as the list may tell of their restart,
-     * or bring them again, only later. And whether one of those in use now is among them.
-     */
-    private final Set<String> returned = new HashSet<>();
+    private final ServerNames names = new ServerNames();
+    /** Whether a server in use now was put back by hand and not reached since. */
     private boolean returning;
     private final Map<String, Call> calls = new HashMap<>();
     private long requests;
@@ -158,11 +124,10 @@
     /** The shortest aim of all classes. */
     private final double shortestAimUs;
     private final double leastWorth;
-    private double retries = RETRY_SAVED;
+    private final RetryBudget retries = new RetryBudget();
     private long wakeAtUs = Long.MAX_VALUE;
     private boolean begun;
     private boolean watching;
-    private long sayAtUs = Long.MIN_VALUE;
     private long askAtUs = Long.MAX_VALUE;
     private int askFailures;
     /** Probes that the price allows for each call, and those saved up. */
@@ -171,20 +136,11 @@
     private double probeUs;
     /** Mean of the loads that probed servers reported: what a server not asked just now is taken to hold. */
     private double reportedLoad;
-    /** Time that a call takes for each call in flight at its server, over all servers. */
-    private double callUs;
-    /** The time for each call in flight that {@link #QUICK} of the calls stay under. */
-    private double quickUs;
-    private double tookUs;
-    /** Running mean of the time that calls took, and the least that it was: while servers were calm. */
-    private double meanUs;
-    private double calmUs = Double.MAX_VALUE;
-    private double ahead;
+    private final CallTimes times = new CallTimes();
     private double workUs;
     /** The time that clients give a first try. */
     private double firstTryUs;
-    /** When what each tenant sent so far would have come, had it come evenly at the rate of its share. */
-    private final double[] sharesAtUs;
+    private final TenantShares shares;
     private double gapUs;
     private long lastSendUs = Long.MIN_VALUE;
 
@@ -198,10 +154,10 @@
         SettingsCheck.check(settings);
         this.settings = settings;
         this.actions = Objects.requireNonNull(actions, "actions");
+        this.log = new OperatorLog(actions);
         this.random = new SplittableRandom(seed);
         this.queue = new CallQueue(settings.classes().size());
-        this.sharesAtUs = new double[settings.tenants().size()];
-        Arrays.fill(sharesAtUs, Long.MIN_VALUE);
+        this.shares = new TenantShares(settings.tenants().size());
         this.shortestAimUs = settings.classes().stream().mapToLong(RequestClass::aimUs).min().orElseThrow();
         this.leastWorth = settings.classes().stream().mapToDouble(RequestClass::worth).min().orElseThrow();
         double price = settings.prices().probe() * settings.tiers();
@@ -220,10 +176,10 @@
             for (Backend s : servers) {
                 s.up = false;
             }
-            inList.clear();
+            names.inList.clear();
         }
         for (Server line : list) {
-            name(line);
+            names.add(line);
             learn(nowUs, line);
         }
         servers.forEach(s -> s.listed = s.up);
@@ -242,23 +198,6 @@
         advance(nowUs, null);
     }
 
-    private void name(Server line) {
-        if (line.status() == ServerStatus.GONE) {
-            inList.remove(line.id());
-        } else {
-            inList.add(line.id());
-        }
-        named.add(line.id());
-        Iterator<String> earliest = named.iterator();
-        while (named.size() > MOST_NAMED + inList.size() + out.size()) {
-            String id = earliest.next();
-            if (!inList.contains(id) && !out.contains(id)) {
-                earliest.remove();
-                returned.remove(id);
-            }
-        }
-    }
-
     private void learn(long nowUs, Server line) {
         Backend s = byId.get(line.id());
         if (line.status() != ServerStatus.UP) {
@@ -277,7 +216,7 @@
             s = new Backend(line.id());
             s.startedAtUs = line.startedAtUs();
             s.coldSinceUs = s.startedAtUs;
-            s.out = out.contains(s.id);
+            s.out = names.out.contains(s.id);
             s.zone = line.zone();
             s.turnAtUs = farness(s) > 0 ? nowUs + (long) (random.nextDouble() * paceUs(nowUs) * farness(s))
                     : Long.MIN_VALUE + random.nextLong(1L << 32);
@@ -298,7 +237,7 @@
             if (begun || share(s, nowUs) < 1) {
                 enter(nowUs, s);
             }
-            if (returned.contains(s.id)) {
+            if (names.returned.contains(s.id)) {
                 comeBack(nowUs, s);
             }
         }
@@ -395,8 +334,8 @@
      * is the turn: were it kept by assignment alone, slow servers would get as many calls as fast ones.
      */
     private double slowness(Backend s) {
-        return s.ahead == 0 || callUs == 0 ? 1
-                : Math.min(MOST_SLOWNESS, Math.max(1 / MOST_SLOWNESS, s.callUs() / callUs));
+        return s.ahead == 0 || times.callUs == 0 ? 1
+                : Math.min(MOST_SLOWNESS, Math.max(1 / MOST_SLOWNESS, s.callUs() / times.callUs));
     }
 
     /** Where crossing zones has a price, servers of other zones come some rounds later. */
@@ -420,7 +359,7 @@
         RequestClass kind = settings.classes().get(request.requestClass());
         double size = 1;
         if (request.workUs() > 0) {
-            workUs += (request.workUs() - workUs) * (workUs == 0 ? 1 : MEAN_WEIGHT / 2);
+            workUs += (request.workUs() - workUs) * (workUs == 0 ? 1 : CallTimes.MEAN_WEIGHT / 2);
             size = request.workUs() / workUs;
         }
         size = size > 1 ? 1 + (size - 1) * HOPE : size;
@@ -434,7 +373,7 @@
         Call call = new Call(request, kind, requests++, nowUs, usefulUs, size);
         call.beyondShare = beyondShare(nowUs, request.tenant());
         calls.put(request.id(), call);
-        retries = Math.min(RETRY_SAVED, retries + RETRY_EARNED);
+        retries.deposit();
         probes = Math.min(probes + probesEarned, probesEarned * PROBE_ROUNDS);
         dispatch(nowUs, call);
     }
@@ -444,15 +383,9 @@
      * so while no server is idle it makes room for others. Below the first tier work was done for it before.
      */
     private boolean beyondShare(long nowUs, int tenant) {
-        if (settings.tier() > 0 || settings.overQuotaWorth() >= 1 || tenant >= sharesAtUs.length) {
-            return false;
-        }
-        double quota = settings.tenants().get(tenant).quotaPerSecond() / settings.copies();
-        if (quota > 0 && sharesAtUs[tenant] > nowUs + SHARE_SAVED_US) {
-            return true;
-        }
-        sharesAtUs[tenant] = Math.max(sharesAtUs[tenant], nowUs) + (quota > 0 ? 1e6 / quota : 0);
-        return false;
+        return settings.tier() == 0 && settings.overQuotaWorth() < 1 && tenant < settings.tenants().size()
+                && shares.isBeyond(nowUs, tenant,
+                        settings.tenants().get(tenant).quotaPerSecond() / settings.copies());
     }
 
     /** Sends the call to the server whose turn it is, or lets it wait for one. */
@@ -460,8 +393,7 @@
         queue.remove(call);
         if (hopeless(nowUs, call)) {
             if (!call.held) {
-                // Else one slow spell could make all later calls look hopeless, with nothing learnt.
-                quickUs *= 1 - QUICK_STEP * QUICK;
+                times.hope();
             }
             giveUp(nowUs, call);
             return;
@@ -474,7 +406,8 @@
         } else if (call.beyondShare && (s == null || load(nowUs, s) > 0)) {
             giveUp(nowUs, call);
         } else if (s == null) {
-            say(nowUs, call.kind.name(), " waits: every server it may use is too crowded, rests or is cold");
+            log.say(nowUs, call.kind.name(),
+                    " waits: every server it may use is too crowded, rests or is cold");
             call.held = true;
             call.probeRounds = 0;
             queue.add(call, Math.max(nowUs + 1, call.endAtUs - (long) leastUs(call)));
@@ -526,7 +459,7 @@
     private void send(long nowUs, Call call, Backend s) {
         if (lastSendUs != Long.MIN_VALUE) {
             long gap = nowUs - lastSendUs;
-            gapUs += (gap - gapUs) * (gapUs == 0 ? 1 : MEAN_WEIGHT);
+            gapUs += (gap - gapUs) * (gapUs == 0 ? 1 : CallTimes.MEAN_WEIGHT);
         }
         lastSendUs = nowUs;
         Attempt attempt = new Attempt(call, s, nowUs, load(nowUs, s) + call.size,
@@ -548,8 +481,8 @@
 
     /** Notes when an attempt is overdue, counted from the last byte of its request. */
     private void expect(long nowUs, Attempt attempt) {
-        if (callUs > 0) {
-            attempt.overdueAtUs = nowUs + (long) (CALL_OVERDUE * callUs * attempt.ahead);
+        if (times.callUs > 0) {
+            attempt.overdueAtUs = nowUs + (long) (CALL_OVERDUE * times.callUs * attempt.ahead);
             sent.add(attempt);
             wake(sent.peek().overdueAtUs);
         }
@@ -650,7 +583,7 @@
     private boolean crowded(long nowUs, Backend s, double expectedUs) {
         double sharers = Math.max(1, (double) settings.copies() * circle(nowUs) / servers.size());
         return load(nowUs, s) * sharers >= JOINT_CALLS
-                && meanUs > calmUs * TENSE && expectedUs > calmUs * CALM;
+                && times.areTense() && expectedUs > times.calmUs * CALM;
     }
 
     /** Whether a call to the server ended so lately that its time still counts. */
@@ -667,7 +600,7 @@
      * resting for it: late work is wasted and keeps the crowd from clearing.
      */
     private double expectedUs(long nowUs, Call call, Backend s) {
-        double usual = callUs / share(s, nowUs);
+        double usual = times.callUs / share(s, nowUs);
         double each = seenLately(nowUs, s) ? s.callUs() : s.ahead > 0 ? Math.min(s.callUs(), usual) : usual;
         return each * (assumedLoad(nowUs, s) + call.size * HOPE);
     }
@@ -687,7 +620,7 @@
 
     /** The least that this call can be hoped to take. */
     private double leastUs(Call call) {
-        return (call.held ? callUs * HELD_MARGIN : quickUs) * call.size;
+        return (call.held ? times.callUs * HELD_MARGIN : times.quickUs) * call.size;
     }
 
     /** Idle servers in use come first, then the fewest calls in flight; of equals the earliest assigned. */
@@ -805,7 +738,7 @@
         call.out--;
         if (attempt.server.returning && (!outcome.provesNotRun || outcome == Outcome.FULL)) {
             attempt.server.returning = false;
-            returned.remove(attempt.server.id);
+            names.returned.remove(attempt.server.id);
             returning = servers.stream().anyMatch(s -> s.returning);
         }
         if (attempt.server.out) {
@@ -814,22 +747,15 @@
             closeIdle(attempt.server.id);
         }
         judge(nowUs, attempt.server, outcome);
-        if ((outcome == Outcome.OK || outcome == Outcome.TIMEOUT) && (attempt.known || callUs == 0)) {
-            tookUs += elapsedUs - tookUs * MEAN_WEIGHT / 2;
-            ahead += attempt.ahead - ahead * MEAN_WEIGHT / 2;
-            double each = elapsedUs / attempt.ahead;
-            meanUs += (elapsedUs - meanUs) * (meanUs == 0 ? 1 : MEAN_WEIGHT);
-            calmUs = Math.min(calmUs * (1 + CALM_GROWTH), meanUs);
-            quickUs = quickUs == 0 ? each : quickUs * (1 + QUICK_STEP * (each < quickUs ? QUICK - 1 : QUICK));
-            // A few servers that take seconds must not pass for usual: the mean is capped.
-            callUs = Math.min(tookUs / ahead, USUAL * quickUs);
+        if ((outcome == Outcome.OK || outcome == Outcome.TIMEOUT) && (attempt.known || times.callUs == 0)) {
+            times.add(elapsedUs, attempt.ahead);
             Backend s = attempt.server;
-            s.tookUs += elapsedUs - s.tookUs * MEAN_WEIGHT;
-            s.ahead += attempt.ahead - s.ahead * MEAN_WEIGHT;
+            s.tookUs += elapsedUs - s.tookUs * CallTimes.MEAN_WEIGHT;
+            s.ahead += attempt.ahead - s.ahead * CallTimes.MEAN_WEIGHT;
             s.callSeenUs = nowUs;
         } else if (outcome == Outcome.FULL) {
             attempt.server.reported = FULL_LOAD;
-            attempt.server.reportUntilUs = nowUs + (long) (callUs * BUSY_HOLDS);
+            attempt.server.reportUntilUs = nowUs + (long) (times.callUs * BUSY_HOLDS);
         }
         if (attempt.toldIdle()) {
             judgeReports(nowUs, outcome == Outcome.FULL || outcome == Outcome.TIMEOUT);
@@ -880,7 +806,7 @@
         } else if (s.errors > ERRORS && s.errors > 2 * errors && beyondChance(s) && mostStay(nowUs)) {
             s.restUntilUs = nowUs + (FAIL_TIMEOUT_US << Math.min(s.errorRests++, MOST_DOUBLINGS));
             s.errors = ERRORS;
-            say(nowUs, s.id, " rests: it errs or breaks connections far more often than others");
+            log.say(nowUs, s.id, " rests: it errs or breaks connections far more often than others");
         }
     }
 
@@ -912,7 +838,7 @@
         boolean failed = outcome == Outcome.CONNECT_FAILED;
         cut += ERROR_WEIGHT * ((failed ? 1 : 0) - cut);
         boolean broken = failed || outcome == Outcome.RESET;
-        s.broken += MEAN_WEIGHT * ((broken ? 1 : 0) - s.broken);
+        s.broken += CallTimes.MEAN_WEIGHT * ((broken ? 1 : 0) - s.broken);
         s.reachedUs = broken ? Long.MIN_VALUE : nowUs;
         if (outcome == Outcome.OK) {
             s.failures = 0;
@@ -924,7 +850,7 @@
             s.demotedUntilUs = nowUs + FAIL_TIMEOUT_US;
             if (failed && s.failures >= MAX_FAILS && Math.pow(usuallyBroken(s), s.failures) < CHANCE_STREAK) {
                 s.restUntilUs = nowUs + (FAIL_TIMEOUT_US << Math.min(s.failureRests++, MOST_DOUBLINGS));
-                say(nowUs, s.id, " rests: connections to it fail");
+                log.say(nowUs, s.id, " rests: connections to it fail");
             }
         }
     }
@@ -941,8 +867,8 @@
     /** After an attempt that brought no answer: another server if that is allowed and can be afforded. */
     private void again(long nowUs, Call call, Outcome outcome) {
         double price = outcome.provesNotRun ? 0 : 1;
-        if (outcome != Outcome.REJECTED && mayRepeat(nowUs, call) && retries >= price) {
-            retries -= price;
+        if (outcome != Outcome.REJECTED && mayRepeat(nowUs, call) && retries.affords(price)) {
+            retries.withdraw(price);
             dispatch(nowUs, call);
         } else {
             giveUp(nowUs, call);
@@ -956,7 +882,7 @@
         long retryAfterUs = settings.limits().maxRetryAfterUs();
         if (mayRefuse(call) && (timeLeft || retryAfterUs > 0)) {
             // A client told nothing would use up its tries within milliseconds.
-            long soonUs = Math.min((long) callUs, retryAfterUs);
+            long soonUs = Math.min((long) times.callUs, retryAfterUs);
             actions.refuse(call.request.id(), timeLeft ? soonUs : retryAfterUs);
         } else {
             actions.fail(call.request.id());
@@ -1011,13 +937,13 @@
 
     @Override
     public boolean knows(String server) {
-        return named.contains(server) || out.contains(server);
+        return names.knows(server);
     }
 
     @Override
     public void takeOut(long nowUs, String server) {
-        if (out.add(server)) {
-            returned.remove(server);
+        if (names.out.add(server)) {
+            names.returned.remove(server);
             Backend s = byId.get(server);
             if (s != null) {
                 s.out = true;
@@ -1030,11 +956,11 @@
 
     @Override
     public void putBack(long nowUs, String server) {
-        if (!out.remove(server)) {
+        if (!names.out.remove(server)) {
             return;
         }
         actions.log(server + " is back by hand");
-        returned.add(server);
+        names.returned.add(server);
         Backend s = byId.get(server);
         if (s != null) {
             s.out = false;
@@ -1049,13 +975,13 @@
 
     @Override
     public boolean isOut(String server) {
-        return out.contains(server);
+        return names.out.contains(server);
     }
 
     @Override
     public Census census(long nowUs) {
         long open = servers.stream().filter(s -> !s.out && s.restUntilUs <= nowUs).count();
-        return new Census(inList.size(), inList.size() - (int) open);
+        return new Census(names.inList.size(), names.inList.size() - (int) open);
     }
 
     // ---- servers that do not answer
@@ -1074,28 +1000,21 @@
         }
         if (s.silences >= SILENCES && mostStay(nowUs)) {
             s.restUntilUs = nowUs + (FAIL_TIMEOUT_US << Math.min(s.silences - SILENCES, MOST_DOUBLINGS));
-            say(nowUs, s.id, " rests: calls to it stay unanswered");
+            log.say(nowUs, s.id, " rests: calls to it stay unanswered");
         }
     }
 
     /** Sends an overdue call elsewhere too: its answer may never come, and a late one earns nothing. */
     private void hedge(long nowUs, Call call) {
-        boolean may = settings.limits().secondCopies() && !call.ended && retries >= 1
+        boolean may = settings.limits().secondCopies() && !call.ended && retries.affords(1)
                 && mayRepeat(nowUs, call);
         Backend s = may ? pick(nowUs, call, Wanted.ANY) : null;
         if (s != null) {
-            retries--;
+            retries.withdraw(1);
             send(nowUs, call, s);
         }
     }
 
-    private void say(long nowUs, String subject, String text) {
-        if (sayAtUs <= nowUs) {
-            sayAtUs = nowUs + SAY_AGAIN_US;
-            actions.log(subject + text);
-        }
-    }
-
     /** Whether half of the servers stay in use if one more rests: no false alarm may rest them all. */
     private boolean mostStay(long nowUs) {
         long inUse = servers.stream().filter(s -> s.inUse(nowUs)).count();
@@ -1111,14 +1030,14 @@
         s.probedAtUs = Long.MIN_VALUE;
         if (outcome == Outcome.OK && report != null) {
             s.unanswered = 0;
-            probeUs += MEAN_WEIGHT * (elapsedUs - probeUs);
+            probeUs += CallTimes.MEAN_WEIGHT * (elapsedUs - probeUs);
             s.reported = (int) Math.round(Math.max(report.inFlight(), report.queue()));
-            reportedLoad += MEAN_WEIGHT * (s.reported - reportedLoad);
+            reportedLoad += CallTimes.MEAN_WEIGHT * (s.reported - reportedLoad);
             if (s.reported > 0) {
                 // Else servers never idle would be asked first each time, and pass for all others.
                 s.turnAtUs = Math.max(s.turnAtUs, nowUs);
             }
-            s.reportUntilUs = nowUs + (long) (s.reported > 0 ? s.reported * callUs * BUSY_HOLDS
+            s.reportUntilUs = nowUs + (long) (s.reported > 0 ? s.reported * times.callUs * BUSY_HOLDS
                     : OVERDUE * probeUs);
             if (s.failures == 0) {
                 s.demotedUntilUs = Long.MIN_VALUE;
@@ -1126,9 +1045,9 @@
         } else if (outcome == Outcome.CONNECT_FAILED) {
             judge(nowUs, s, outcome);
         } else {
-            s.demotedUntilUs = Math.max(s.demotedUntilUs, nowUs + (long) (OVERDUE * callUs));
+            s.demotedUntilUs = Math.max(s.demotedUntilUs, nowUs + (long) (OVERDUE * times.callUs));
             s.unanswered++;
-            reportedLoad -= MEAN_WEIGHT * reportedLoad;
+            reportedLoad -= CallTimes.MEAN_WEIGHT * reportedLoad;
         }
         advance(nowUs, s);
     }
@@ -1153,7 +1072,7 @@
     /** When the next server that rests or enters may be used, and the usual pace of looks at the latest. */
     private long nextLook(long nowUs) {
         return servers.stream().mapToLong(s -> s.returnUs(nowUs))
-                .reduce(nowUs + (long) (callUs * BUSY_HOLDS) + settings.tickUs(), Math::min);
+                .reduce(nowUs + (long) (times.callUs * BUSY_HOLDS) + settings.tickUs(), Math::min);
     }
 
     /** Offers a server that changed to the queued calls. */
