--- a/src/main/java/passhatch/Backend.java
+++ b/src/main/java/passhatch/Backend.java
@@ -3,8 +3,9 @@
 /** A server as this copy sees it. */
 final class Backend {
     final String id;
-    /** Its place in the order that all copies keep the list in: that of hashed ids. */
-    final int place;
+    final long hash;
+    /** Its slot on the {@link HashRing}. */
+    int slot;
     int zone;
     int group;
     int model;
@@ -59,7 +60,7 @@
 
     Backend(String id) {
         this.id = id;
-        this.place = id.hashCode() * 0x9E3779B1;
+        this.hash = HashRing.hash(id);
     }
 
     /** Whether calls may go there at all now. */
--- a/src/main/java/passhatch/Logic.java
+++ b/src/main/java/passhatch/Logic.java
@@ -3,9 +3,11 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Set;
 import java.util.SplittableRandom;
 
 /**
@@ -79,10 +81,13 @@
     private static final double MOST_LATE_US = 24_000_000;
     /** The load of a server that turned a call away as full. */
     private static final int FULL_LOAD = 1000;
-    /** Copies that share a server, where only their own calls tell its load: they should see most of it. */
-    private static final double SHARERS = 2;
-    /** Servers in a copy's circle at least: with fewer, one that is slow or dead weighs too much. */
-    private static final int LEAST_CIRCLE = 4;
+    /**
+     * Copies that share a server, where only their own calls tell its load: they should see most of it. Three
+     * at most of 2.32 on the mean leave the room that subsets need to stay when a server changes.
+     */
+    private static final double SHARERS = 2.32;
+    /** Servers in a copy's subset at least: with fewer, one that is slow or dead weighs too much. */
+    private static final int LEAST_SUBSET = 4;
     /** The same where probes tell: enough to find an idle one, few enough to rank for each call. */
     private static final int LEAST_TOLD = 24;
     /** A server put back by hand is tried within this time, where any call may go there. */
@@ -98,7 +103,9 @@
     private final OperatorLog log;
     private final SplittableRandom random;
     private final Map<String, Backend> byId = new HashMap<>();
-    private final List<Backend> servers = new ArrayList<>();
+    private final Set<Backend> servers = new LinkedHashSet<>();
+    /** The subsets of the near servers and of the far ones. */
+    private final List<Subsetting> subsets;
     private final ServerNames names = new ServerNames();
     /** Whether a server in use now was put back by hand and not reached since. */
     private boolean returning;
@@ -156,6 +163,8 @@
         this.actions = Objects.requireNonNull(actions, "actions");
         this.log = new OperatorLog(actions);
         this.random = new SplittableRandom(seed);
+        this.subsets = List.of(new Subsetting(settings.copy(), settings.copies()),
+                new Subsetting(settings.copy(), settings.copies()));
         this.queue = new CallQueue(settings.classes().size());
         this.shares = new TenantShares(settings.tenants().size());
         this.shortestAimUs = settings.classes().stream().mapToLong(RequestClass::aimUs).min().orElseThrow();
@@ -173,19 +182,15 @@
     @Override
     public void serversChanged(long nowUs, ListKind kind, List<Server> list) {
         if (kind != ListKind.CHANGES) {
-            for (Backend s : servers) {
-                s.up = false;
-            }
+            servers.forEach(s -> s.up = false);
             names.inList.clear();
         }
+        Set<Backend> touched = new LinkedHashSet<>(kind == ListKind.CHANGES ? List.of() : servers);
         for (Server line : list) {
             names.add(line);
-            learn(nowUs, line);
+            learn(nowUs, line, touched);
         }
-        servers.forEach(s -> s.listed = s.up);
-        servers.removeIf(s -> !s.listed);
-        // One that left with calls out is remembered until they end: it may return, and holds them still.
-        byId.values().removeIf(s -> !s.listed && s.inFlight == 0);
+        subset(nowUs, touched);
         if (!begun) {
             begun = true;
             askAtUs = settings.watch() ? nowUs : Long.MAX_VALUE;
@@ -198,21 +203,20 @@
         advance(nowUs, null);
     }
 
-    private void learn(long nowUs, Server line) {
+    private void learn(long nowUs, Server line, Set<Backend> touched) {
         Backend s = byId.get(line.id());
+        if (s != null) {
+            touched.add(s);
+            s.up = false;
+            s.draining = line.status() == ServerStatus.DRAINING;
+        }
         if (line.status() != ServerStatus.UP) {
-            boolean draining = line.status() == ServerStatus.DRAINING;
-            if (s != null) {
-                s.up = false;
-                s.draining = draining;
-            }
-            if (draining) {
+            if (line.status() == ServerStatus.DRAINING) {
                 closeIdle(line.id());
             }
             return;
         }
-        if (s == null || line.startedAtUs() != s.startedAtUs) {
-            servers.remove(s);
+        if (s == null || line.startedAtUs() != s.startedAtUs || line.zone() != s.zone) {
             s = new Backend(line.id());
             s.startedAtUs = line.startedAtUs();
             s.coldSinceUs = s.startedAtUs;
@@ -221,28 +225,54 @@
             s.turnAtUs = farness(s) > 0 ? nowUs + (long) (random.nextDouble() * paceUs(nowUs) * farness(s))
                     : Long.MIN_VALUE + random.nextLong(1L << 32);
             byId.put(s.id, s);
+            touched.add(s);
         }
-        s.zone = line.zone();
         s.group = line.group();
         s.model = line.model();
         s.up = true;
-        s.draining = false;
-        if (!s.listed) {
-            s.listed = true;
-            int at = servers.size();
-            while (at > 0 && later(servers.get(at - 1), s)) {
-                at--;
+    }
+
+    /** Brings the subsets in line with what a list said of these servers. */
+    private void subset(long nowUs, Set<Backend> touched) {
+        touched.removeIf(s -> s.up == s.listed);
+        for (Backend s : touched) {
+            s.listed = s.up;
+            if (s.listed) {
+                servers.add(s);
+            } else {
+                servers.remove(s);
+                forget(s);
+            }
+        }
+        for (int ring = 0; ring < subsets.size(); ring++) {
+            List<Backend> gone = new ArrayList<>();
+            List<Backend> come = new ArrayList<>();
+            for (Backend s : touched) {
+                if (farness(s) > 0 == ring > 0) {
+                    (s.listed ? come : gone).add(s);
+                }
+            }
+            if (!touched.isEmpty()) {
+                subsets.get(ring).change(gone, come, mostMembers());
             }
-            servers.add(at, s);
-            if (begun || share(s, nowUs) < 1) {
+        }
+        for (Backend s : touched) {
+            if (s.listed && (begun || share(s, nowUs) < 1)) {
                 enter(nowUs, s);
             }
-            if (names.returned.contains(s.id)) {
+            if (s.listed && names.returned.contains(s.id)) {
                 comeBack(nowUs, s);
             }
         }
     }
 
+    /** One that left with calls out is remembered until they end: it may return, and holds them still. */
+    private void forget(Backend s) {
+        if (!s.listed && s.inFlight == 0) {
+            byId.remove(s.id, s);
+        }
+    }
+
     /** Lets a server that was put back by hand have its first call soon. */
     private void comeBack(long nowUs, Backend s) {
         s.entryAtUs = Math.min(s.entryAtUs, nowUs + (long) (random.nextDouble() * RETURN_US));
@@ -260,21 +290,17 @@
         }
     }
 
-    /** The order of the list: near servers first, then by a place that is the same at every copy. */
-    private boolean later(Backend a, Backend b) {
-        return farness(a) != farness(b) ? farness(a) > farness(b) : a.place > b.place;
-    }
-
     /**
      * A new server would be the earliest assigned at every copy at once. It takes the place in the round of
      * one chosen at random, and while it is cold only a part of the copies use it: with many of them, a round
      * of each takes so long that a wait measured in rounds would starve it.
      */
     private void enter(long nowUs, Backend s) {
-        int any = random.nextInt(servers.size());
-        for (int i = 0; i < servers.size(); i++) {
-            Backend other = servers.get((any + i) % servers.size());
-            if (other != s && farness(other) == farness(s)) {
+        List<Backend> members = subsets.get(farness(s) > 0 ? 1 : 0).members();
+        int any = random.nextInt(Math.max(1, members.size()));
+        for (int i = 0; i < members.size(); i++) {
+            Backend other = members.get((any + i) % members.size());
+            if (other != s) {
                 s.turnAtUs = other.turnAtUs;
                 break;
             }
@@ -312,21 +338,27 @@
 
     /** Time in which this copy goes round all servers. */
     private double paceUs(long nowUs) {
-        return (gapUs > 0 ? gapUs : settings.classes().get(0).aimUs()) * Math.max(1, circle(nowUs));
+        return (gapUs > 0 ? gapUs : settings.classes().get(0).aimUs()) * Math.max(1, subsetSize(nowUs));
     }
 
     /**
-     * How many servers this copy goes round. Where many copies send to each server and no probe tells what
-     * the others sent, own calls in flight say nothing; and where a connection carries one call, those of
-     * many copies fill a server up, even idle. So each copy then keeps to the few servers that follow its
-     * own place in the list, which spreads the copies evenly. Where probes tell, more are used, but not all
-     * of hundreds: ranking them for each call costs too much. A server that rests is stepped over.
+     * How many servers this copy keeps to. Where many copies send to each server and no probe tells what the
+     * others sent, own calls in flight say nothing; and where a connection carries one call, those of many
+     * copies fill a server up, even idle. So each copy keeps to a few. Where probes tell, more are used, but
+     * not all of hundreds: ranking them for each call costs too much. For members out of use others stand in.
      */
-    private int circle(long nowUs) {
+    private int subsetSize(long nowUs) {
+        return told(nowUs) ? mostMembers() : members(LEAST_SUBSET);
+    }
+
+    private int mostMembers() {
+        boolean told = probesEarned > 0 && settings.limits().callsPerConnection() > 1;
+        return members(told ? LEAST_TOLD : LEAST_SUBSET);
+    }
+
+    private int members(int least) {
         int all = servers.size();
-        boolean told = told(nowUs) && settings.limits().callsPerConnection() > 1;
-        double fair = Math.ceil(SHARERS * all / settings.copies());
-        return (int) Math.min(all, Math.max(told ? LEAST_TOLD : LEAST_CIRCLE, fair));
+        return (int) Math.min(all, Math.max(least, Math.ceil(SHARERS * all / settings.copies())));
     }
 
     /**
@@ -517,43 +549,50 @@
     }
 
     /**
-     * The server whose turn it is among those of the circle that this call may use and that are wanted.
-     * Where all near ones are too crowded or slow for it, the circle goes on among the far ones: traffic
-     * that moves to one zone must not be refused while others have room.
+     * The server whose turn it is among those of the subset that this call may use and that are wanted. Where
+     * all near ones are too crowded or slow for it, the far subset follows: traffic that moves to one zone
+     * must not be refused while others have room.
      */
     private Backend pick(long nowUs, Call call, Wanted wanted) {
         Backend best = null;
-        int all = servers.size();
-        int near = 0;
-        while (near < all && farness(servers.get(near)) == 0) {
-            near++;
-        }
-        int left = circle(nowUs);
-        for (int ring = 0; ring < 2; ring++) {
-            int from = ring * near;
-            int many = ring == 0 ? near : all - near;
-            int first = (int) ((long) settings.copy() * many / settings.copies());
-            left = best == null && wanted == Wanted.ANY ? circle(nowUs) : left;
-            for (int i = 0; i < many && (left > 0 || returning); i++) {
-                Backend s = servers.get(from + (i + first) % many);
-                // Whoever put a server back looks for its first call, so it comes in addition to the circle.
-                if (!open(nowUs, call, s) || left <= 0 && !s.returning) {
-                    continue;
+        int left = 0;
+        for (Subsetting ring : subsets) {
+            List<Backend> from = ring.members();
+            if (ring == subsets.get(0) || best == null && wanted == Wanted.ANY) {
+                left = subsetSize(nowUs) == mostMembers() ? from.size() : subsetSize(nowUs);
+            }
+            for (int i = 0; left > 0; i++) {
+                if (i == from.size()) {
+                    from = ring.all();
                 }
-                left--;
-                boolean fits = switch (wanted) {
-                    case ANY -> usable(nowUs, call, s);
-                    case FOUND_IDLE -> foundIdle(nowUs, s);
-                    case UNKNOWN -> s.probedAtUs == Long.MIN_VALUE && s.reportUntilUs <= nowUs;
-                };
-                if (fits && (best == null || better(nowUs, s, best))) {
-                    best = s;
+                if (i == from.size()) {
+                    break;
                 }
+                if (open(nowUs, call, from.get(i))) {
+                    left--;
+                    best = better(nowUs, call, wanted, from.get(i), best);
+                }
+            }
+        }
+        // Whoever put a server back looks for its first call, so it comes in addition to the subset.
+        for (Backend s : returning ? servers : Set.<Backend>of()) {
+            if (s.returning && open(nowUs, call, s)) {
+                best = better(nowUs, call, wanted, s, best);
             }
         }
         return best;
     }
 
+    /** The better of a server, where it is one that is wanted, and the best so far, if any. */
+    private Backend better(long nowUs, Call call, Wanted wanted, Backend s, Backend best) {
+        boolean fits = switch (wanted) {
+            case ANY -> usable(nowUs, call, s);
+            case FOUND_IDLE -> foundIdle(nowUs, s);
+            case UNKNOWN -> s.probedAtUs == Long.MIN_VALUE && s.reportUntilUs <= nowUs;
+        };
+        return fits && (best == null || better(nowUs, s, best)) ? s : best;
+    }
+
     private boolean foundIdle(long nowUs, Backend s) {
         return s.reportUntilUs > nowUs && load(nowUs, s) == 0 && !demoted(nowUs, s);
     }
@@ -581,7 +620,7 @@
      * each server.
      */
     private boolean crowded(long nowUs, Backend s, double expectedUs) {
-        double sharers = Math.max(1, (double) settings.copies() * circle(nowUs) / servers.size());
+        double sharers = Math.max(1, (double) settings.copies() * subsetSize(nowUs) / servers.size());
         return load(nowUs, s) * sharers >= JOINT_CALLS
                 && times.areTense() && expectedUs > times.calmUs * CALM;
     }
@@ -639,7 +678,7 @@
         if (loadA != loadB) {
             return loadA < loadB;
         }
-        return a.turnAtUs < b.turnAtUs;
+        return a.turnAtUs < b.turnAtUs || a.turnAtUs == b.turnAtUs && a.failures < b.failures;
     }
 
     /**
@@ -736,6 +775,7 @@
         attempt.out = false;
         attempt.server.inFlight--;
         call.out--;
+        forget(attempt.server);
         if (attempt.server.returning && (!outcome.provesNotRun || outcome == Outcome.FULL)) {
             attempt.server.returning = false;
             names.returned.remove(attempt.server.id);
