--- a/lab/src/main/java/passhatch/lab/Pairings.java
+++ b/lab/src/main/java/passhatch/lab/Pairings.java
@@ -29,7 +29,7 @@
     /** Copies that are restarted. */
     private static final int RESTARTED = 64;
     /** Calls of each copy from which its servers' load is counted; a multiple of the usual subset sizes. */
-    private static final int CALLS = 120;
+    private static final int CALLS = 840;
 
     /**
      * How the fleet took one change.
