--- a/lab/src/main/java/passhatch/lab/QueuedCallsBenchmark.java
+++ b/lab/src/main/java/passhatch/lab/QueuedCallsBenchmark.java
@@ -11,7 +11,6 @@
 import org.openjdk.jmh.annotations.Scope;
 import org.openjdk.jmh.annotations.Setup;
 import org.openjdk.jmh.annotations.State;
-import passhatch.Balancer.Actions;
 import passhatch.Balancer.DedupGroup;
 import passhatch.Balancer.Effect;
 import passhatch.Balancer.ListKind;
@@ -28,7 +27,7 @@
 @State(Scope.Thread)
 @BenchmarkMode(Mode.AverageTime)
 @OutputTimeUnit(TimeUnit.MICROSECONDS)
-public class QueuedCallsBenchmark implements Actions {
+public class QueuedCallsBenchmark extends NoActions {
 
     private static final long STEP_US = 100;
     private static final long CALL_US = 200_000;
@@ -128,19 +127,4 @@
     public void fail(String request) {
         throw new IllegalStateException(request + " fails");
     }
-
-    @Override
-    public void cancel(String request, int attempt) { }
-
-    @Override
-    public void probe(String server) { }
-
-    @Override
-    public void wakeAt(long atUs) { }
-
-    @Override
-    public void watchServers() { }
-
-    @Override
-    public void log(String text) { }
 }
