--- a/lab/src/test/java/passhatch/lab/control/ControlPathTest.java
+++ b/lab/src/test/java/passhatch/lab/control/ControlPathTest.java
@@ -8,6 +8,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 import passhatch.lab.control.ControlPath.Spell;
@@ -74,6 +75,7 @@
     }
 
     @Test
+    @Timeout(120)
     void callsThatFailAreRepeatedUntilTheWatchIsOpen() throws Exception {
         path.discovery().mode(Mode.FAILING);
         path.discovery().resetWatches();
