--- /dev/null
+++ b/src/test/java/passhatch/PolicyFilesTest.java
@@ -0,0 +1,55 @@
+package passhatch;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.regex.MatchResult;
+import java.util.regex.Pattern;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+
+/** The deploy file names every file that decides, and each of them can be read in a sitting. */
+class PolicyFilesTest {
+
+    private static final Path MODULE = Path.of("src/main/java/passhatch");
+    /** Types, settings, names and log lines: nothing is decided there. */
+    private static final Set<String> WITHOUT_DECISIONS = Set.of("Balancer.java", "OperatorLog.java",
+            "ServerNames.java", "SettingsBuilder.java", "SettingsCheck.java", "package-info.java");
+    private static final int MOST_LINES_OF_A_FILE = 1_200;
+
+    private static Set<Path> policy() throws IOException {
+        String policy = Files.readAllLines(Path.of("deploy/balancer.toml")).stream()
+                .filter(line -> line.startsWith("policy")).findFirst().orElseThrow();
+        return Pattern.compile("\"([^\"]+)\"").matcher(policy).results().map(MatchResult::group)
+                .map(PolicyFilesTest::unquoted).collect(Collectors.toCollection(TreeSet::new));
+    }
+
+    private static Path unquoted(String match) {
+        return Path.of(match.substring(match.indexOf('"') + 1, match.lastIndexOf('"')));
+    }
+
+    @Test
+    void everyFileThatDecidesIsNamed() throws IOException {
+        Set<Path> deciding;
+        try (Stream<Path> files = Files.list(MODULE)) {
+            deciding = files.filter(file -> file.toString().endsWith(".java"))
+                    .filter(file -> !WITHOUT_DECISIONS.contains(file.getFileName().toString()))
+                    .collect(Collectors.toCollection(TreeSet::new));
+        }
+        assertEquals(deciding, policy());
+    }
+
+    @Test
+    void noFileThatDecidesHasMoreThan1200Lines() throws IOException {
+        for (Path file : policy()) {
+            long lines = Files.readAllLines(file).stream().filter(line -> !line.isBlank()).count();
+            assertTrue(lines > 0 && lines <= MOST_LINES_OF_A_FILE, file + ": " + lines);
+        }
+    }
+}
