Log and count calls to discovery, list changes, retries and why requests are given up

Change: DiscoveryCalls numbers each call and logs its end, and each list with the servers that it changes; the module gives a reason with each request that it gives up, and a retry names the attempts before it.

--- a/src/main/java/passhatch/Balancer.java
+++ b/src/main/java/passhatch/Balancer.java
@@ -229,6 +229,24 @@
      */
     record LoadReport(double inFlight, double queue, double utilisation) { }
 
+    /** Why a request ends without an answer from a server. */
+    enum GiveUpReason {
+        /** Too little of its client's time is left for any server. */
+        NO_TIME,
+        /** It lies beyond its tenant's share, and no server is idle. */
+        BEYOND_SHARE,
+        /** A server finds fault with the request itself. */
+        REJECTED,
+        /** An attempt may have run, and neither its class nor its window allows another. */
+        MAY_HAVE_RUN,
+        /** All attempts that the deployment allows were made. */
+        ATTEMPTS_USED,
+        /** Its body was passed on and is not held any more. */
+        BODY_NOT_HELD,
+        /** The budget of retries is spent. */
+        RETRY_BUDGET
+    }
+
     /** What the module may ask for. Ids are passed back as they came. */
     interface Actions {
         /** Sends an attempt; a request's attempts are numbered from 0 in the order of these calls. */
@@ -240,6 +258,9 @@
         /** Ends a request as failed: nothing is promised. */
         void fail(String request);
 
+        /** Tells why the request is refused or failed next; nothing needs to be done. */
+        default void givesUp(String request, GiveUpReason reason) { }
+
         /** Stops waiting for an attempt. */
         void cancel(String request, int attempt);
 
--- a/src/main/java/passhatch/Logic.java
+++ b/src/main/java/passhatch/Logic.java
@@ -427,7 +427,7 @@
             if (!call.held) {
                 times.hope();
             }
-            giveUp(nowUs, call);
+            giveUp(nowUs, call, GiveUpReason.NO_TIME);
             return;
         }
         Backend found = told(nowUs) ? pick(nowUs, call, Wanted.FOUND_IDLE) : null;
@@ -436,7 +436,7 @@
             queue.addAside(call, call.probeUntilUs);
             wake(call.probeUntilUs);
         } else if (call.beyondShare && (s == null || load(nowUs, s) > 0)) {
-            giveUp(nowUs, call);
+            giveUp(nowUs, call, GiveUpReason.BEYOND_SHARE);
         } else if (s == null) {
             log.say(nowUs, call.kind.name(),
                     " waits: every server it may use is too crowded, rests or is cold");
@@ -733,11 +733,22 @@
 
     /** Whether the call may be sent once more, after its attempts so far. */
     private boolean mayRepeat(long nowUs, Call call) {
-        if (call.spent || call.attempts.size() >= settings.limits().maxAttempts() || nowUs >= call.endAtUs) {
-            return false;
+        return whyNotRepeat(nowUs, call) == null;
+    }
+
+    /** What forbids to send the call once more; null where nothing does. */
+    private GiveUpReason whyNotRepeat(long nowUs, Call call) {
+        if (call.spent) {
+            return GiveUpReason.BODY_NOT_HELD;
+        }
+        if (call.attempts.size() >= settings.limits().maxAttempts()) {
+            return GiveUpReason.ATTEMPTS_USED;
+        }
+        if (nowUs >= call.endAtUs) {
+            return GiveUpReason.NO_TIME;
         }
         Attempt mayHaveRun = call.mayHaveRun();
-        return mayHaveRun == null || mayFollow(nowUs, call, mayHaveRun);
+        return mayHaveRun == null || mayFollow(nowUs, call, mayHaveRun) ? null : GiveUpReason.MAY_HAVE_RUN;
     }
 
     /** Whether another attempt may be written after one that may have run. */
@@ -907,17 +918,23 @@
     /** After an attempt that brought no answer: another server if that is allowed and can be afforded. */
     private void again(long nowUs, Call call, Outcome outcome) {
         double price = outcome.provesNotRun ? 0 : 1;
-        if (outcome != Outcome.REJECTED && mayRepeat(nowUs, call) && retries.affords(price)) {
+        GiveUpReason forbidden = outcome == Outcome.REJECTED ? GiveUpReason.REJECTED
+                : whyNotRepeat(nowUs, call);
+        if (forbidden == null && !retries.affords(price)) {
+            forbidden = GiveUpReason.RETRY_BUDGET;
+        }
+        if (forbidden == null) {
             retries.withdraw(price);
             dispatch(nowUs, call);
         } else {
-            giveUp(nowUs, call);
+            giveUp(nowUs, call, forbidden);
         }
     }
 
     /** The final answer where no server gave one: a refusal where the client may come again. */
-    private void giveUp(long nowUs, Call call) {
+    private void giveUp(long nowUs, Call call, GiveUpReason reason) {
         call.ended = true;
+        actions.givesUp(call.request.id(), reason);
         boolean timeLeft = nowUs + leastUs(call) < call.endAtUs;
         long retryAfterUs = settings.limits().maxRetryAfterUs();
         if (mayRefuse(call) && (timeLeft || retryAfterUs > 0)) {
--- a/src/main/java/passhatch/proxy/Discovery.java
+++ b/src/main/java/passhatch/proxy/Discovery.java
@@ -21,6 +21,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.timeout.ReadTimeoutException;
 import io.netty.handler.timeout.ReadTimeoutHandler;
 import io.netty.util.concurrent.Future;
 import java.io.IOException;
@@ -78,10 +79,12 @@
     /** The watch of the address before, until the present one speaks. */
     private Watch previous;
     private Future<?> next;
+    private final DiscoveryCalls calls;
 
-    Discovery(EventLoop loop, EventLog log, ProxyConfig config, Listener listener) {
+    Discovery(EventLoop loop, Clock clock, EventLog log, ProxyConfig config, Listener listener) {
         this.loop = loop;
         this.log = log;
+        this.calls = new DiscoveryCalls(clock, log);
         this.zones = config.zones();
         this.models = config.models();
         this.address = config.discovery();
@@ -91,6 +94,10 @@
         this.whole = index == 0;
     }
 
+    DiscoveryCalls calls() {
+        return calls;
+    }
+
     /** Starts a watch unless there is one; one that ends is taken up again. */
     void watch() {
         if (stopped || current != null && current.channel.isOpen()) {
@@ -98,7 +105,7 @@
         }
         boolean fetch = whole;
         String path = fetch ? "/v1/endpoints" : "/v1/endpoints?watch=1&from=" + index;
-        Watch watch = new Watch(fetch);
+        Watch watch = new Watch(fetch, calls.begin(fetch ? "list" : "watch from " + index));
         Bootstrap bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
@@ -116,10 +123,14 @@
                 get.headers().set(HttpHeaderNames.HOST, "discovery");
                 done.channel().writeAndFlush(get);
             } else {
+                watch.call.endsBy(DiscoveryCalls.End.NOT_CONNECTED);
                 log.line(Kind.DISCOVERY, "discovery: " + done.cause().getMessage());
             }
         }).channel();
-        watch.channel.closeFuture().addListener(closed -> ended(watch));
+        watch.channel.closeFuture().addListener(closed -> {
+            calls.ended(watch.call);
+            ended(watch);
+        });
     }
 
     private static ReadTimeoutHandler silentFor(long ms) {
@@ -179,7 +190,6 @@
             watch();
             return;
         }
-        log.line(Kind.DISCOVERY, "discovery: the watch from index " + index + " ended");
         if (onRequest) {
             askAgain();
             return;
@@ -205,9 +215,11 @@
         private boolean heard;
         private Channel channel;
         private boolean fetched;
+        private final DiscoveryCalls.Call call;
 
-        Watch(boolean fetch) {
+        Watch(boolean fetch, DiscoveryCalls.Call call) {
             this.fetch = fetch;
+            this.call = call;
         }
 
         @Override
@@ -218,6 +230,7 @@
             if (message instanceof HttpResponse response) {
                 ok = response.status().equals(HttpResponseStatus.OK);
                 if (!ok) {
+                    call.endsBy(DiscoveryCalls.End.TURNED_AWAY);
                     log.line(Kind.DISCOVERY, "discovery answered " + response.status());
                     // It may no longer know the version asked for.
                     whole |= response.status().code() < 500;
@@ -228,6 +241,7 @@
             }
             if (ok && message instanceof HttpContent content) {
                 if (!objects.add(content.content())) {
+                    call.endsBy(DiscoveryCalls.End.CLOSED_HERE);
                     log.line(Kind.DISCOVERY, "discovery: a list does not come to an end");
                     ctx.close();
                     return;
@@ -249,6 +263,7 @@
                 rest.cancel(false);
             }
             rest = !objects.isWithin() ? null : loop.schedule(() -> {
+                call.endsBy(DiscoveryCalls.End.SILENT);
                 log.line(Kind.DISCOVERY, "discovery: the rest of a list does not come");
                 ctx.close();
             }, REST_MS, TimeUnit.MILLISECONDS);
@@ -261,6 +276,9 @@
         /** A watch with nothing to tell says so by an empty line: the list held is up to date. */
         @Override
         public void emptyLine() {
+            if (isHeard()) {
+                calls.heard();
+            }
             if (!heard && !fetch && this == current) {
                 heard = true;
                 listener.listed(new EndpointList(index, false, List.of()));
@@ -289,6 +307,8 @@
                 return;
             }
             heard = true;
+            calls.heard();
+            calls.took(call, list);
             if (this == previous) {
                 listener.listed(list);
                 return;
@@ -300,6 +320,7 @@
             pauseMs = FIRST_PAUSE_MS;
             listener.listed(list);
             if (fetch) {
+                call.endsBy(DiscoveryCalls.End.ANSWERED);
                 // All that was asked for is in, and its end may never come: until then there is no watch.
                 channel.close();
             }
@@ -307,6 +328,8 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            call.endsBy(cause instanceof ReadTimeoutException ? DiscoveryCalls.End.SILENT
+                    : DiscoveryCalls.End.BROKEN);
             log.line(Kind.DISCOVERY, "discovery: " + cause);
             ctx.close();
         }
--- a/src/main/java/passhatch/proxy/EventLog.java
+++ b/src/main/java/passhatch/proxy/EventLog.java
@@ -14,10 +14,27 @@
 final class EventLog {
 
     private static final int MOST_LINES = 5;
+    private static final int MOST_DISCOVERY_LINES = 60;
     private static final long WINDOW_NS = TimeUnit.SECONDS.toNanos(10);
 
     /** What others can bring about as often as they like. */
-    enum Kind { REQUEST, CLIENT, EVICTION, ATTEMPT, BACKEND, DISCOVERY, MODULE, CONSOLE }
+    enum Kind {
+        REQUEST(MOST_LINES),
+        CLIENT(MOST_LINES),
+        EVICTION(MOST_LINES),
+        ATTEMPT(MOST_LINES),
+        BACKEND(MOST_LINES),
+        /** What this proxy knows of the servers hangs on these, and the proxy itself sets their pace. */
+        DISCOVERY(MOST_DISCOVERY_LINES),
+        MODULE(MOST_LINES),
+        CONSOLE(MOST_LINES);
+
+        private final int mostLines;
+
+        Kind(int mostLines) {
+            this.mostLines = mostLines;
+        }
+    }
 
     /** The lines of one kind. */
     private static final class Window {
@@ -49,7 +66,7 @@
             window.lines = 0;
             window.skipped = 0;
         }
-        if (window.lines++ < MOST_LINES) {
+        if (window.lines++ < kind.mostLines) {
             line(text);
         } else {
             window.skipped++;
--- a/src/main/java/passhatch/proxy/Figures.java
+++ b/src/main/java/passhatch/proxy/Figures.java
@@ -1,7 +1,9 @@
 package passhatch.proxy;
 
 import java.util.List;
+import java.util.Locale;
 import passhatch.Balancer.Census;
+import passhatch.Balancer.GiveUpReason;
 
 /** What this process has done since its start, counted where it happens and put into words when asked. */
 final class Figures {
@@ -21,10 +23,17 @@
         }
     }
 
+    /** Takes metrics, by name. */
+    interface Lines {
+        void add(String name, long value);
+    }
+
     private final List<String> classes;
     /** By end and class. */
     private final long[][] ended;
     private long dispatches;
+    private long retries;
+    private final long[] gaveUp = new long[GiveUpReason.values().length];
 
     Figures(List<String> classes) {
         this.classes = classes;
@@ -41,9 +50,20 @@
         dispatches++;
     }
 
+    /** Counts an attempt after the first of its request. */
+    void retried() {
+        retries++;
+    }
+
+    /** Counts a request that ends without a server's answer. */
+    void gaveUp(GiveUpReason reason) {
+        gaveUp[reason.ordinal()]++;
+    }
+
     /** All figures, one a line. */
-    String text(int concurrent, Census servers) {
+    String text(int concurrent, Census servers, DiscoveryCalls discovery) {
         StringBuilder text = new StringBuilder();
+        Lines lines = (name, value) -> line(text, name, value);
         for (End how : End.values()) {
             for (int kind = 0; kind < classes.size(); kind++) {
                 line(text, how.figure + "." + classes.get(kind), ended[how.ordinal()][kind]);
@@ -53,9 +73,19 @@
         line(text, "concurrent", concurrent);
         line(text, "targets", servers.listed());
         line(text, "targets_disabled", servers.avoided());
+        lines.add("retries", retries);
+        for (GiveUpReason reason : GiveUpReason.values()) {
+            lines.add("gave_up." + lowerCase(reason), gaveUp[reason.ordinal()]);
+        }
+        discovery.metrics(lines);
         return text.toString();
     }
 
+    /** The name of a constant as figures have it. */
+    static String lowerCase(Enum<?> constant) {
+        return constant.name().toLowerCase(Locale.ROOT);
+    }
+
     private static void line(StringBuilder text, String name, long value) {
         text.append(PREFIX).append(name).append('=').append(value).append('\n');
     }
--- a/src/main/java/passhatch/proxy/ProxyLoop.java
+++ b/src/main/java/passhatch/proxy/ProxyLoop.java
@@ -23,6 +23,7 @@
 import java.util.concurrent.TimeUnit;
 import passhatch.Balancer;
 import passhatch.Balancer.Actions;
+import passhatch.Balancer.GiveUpReason;
 import passhatch.Balancer.ListKind;
 import passhatch.Balancer.LoadReport;
 import passhatch.Balancer.Outcome;
@@ -120,7 +121,7 @@
         this.maxAttempts = config.settings().limits().maxAttempts();
         this.figures = new Figures(config.classes());
         this.readiness = new Readiness(clock, log, config);
-        this.discovery = new Discovery(loop, log, config, this);
+        this.discovery = new Discovery(loop, clock, log, config, this);
         this.balancer = module.create(config.settings(), config.seed(), this);
         remember(config.known());
         if (!config.settings().watch()) {
@@ -134,7 +135,7 @@
 
     /** The figures as of now. */
     String counters() {
-        return figures.text(unanswered - arriving, balancer.census(clock.nowUs()));
+        return figures.text(unanswered - arriving, balancer.census(clock.nowUs()), discovery.calls());
     }
 
     /** Whether a list ever named the backend. */
@@ -433,6 +434,10 @@
             log.line(Kind.ATTEMPT, "send of " + id + " to " + server + ": the request is not known");
             return;
         }
+        if (!e.attempts.isEmpty()) {
+            figures.retried();
+            log.line(Kind.ATTEMPT, "request " + id + " is sent again, to " + server + e.history());
+        }
         Attempt attempt = new Attempt(e.attempts.size(), server, now);
         e.attempts.add(attempt);
         long leftUs = e.deadlineUs - now;
@@ -489,6 +494,15 @@
         return message;
     }
 
+    @Override
+    public void givesUp(String id, GiveUpReason reason) {
+        figures.gaveUp(reason);
+        Exchange e = exchanges.get(id);
+        if (e != null) {
+            log.line(Kind.REQUEST, "request " + id + " is given up: " + reason + e.history());
+        }
+    }
+
     @Override
     public void refuse(String id, long retryAfterUs) {
         finish(id, Answer.refused(retryAfterUs));
@@ -618,6 +632,15 @@
             this.deadlineUs = deadlineUs;
         }
 
+        /** Its attempts so far, in words. */
+        String history() {
+            StringBuilder text = new StringBuilder(" after");
+            for (Attempt a : attempts) {
+                text.append(' ').append(a.server).append('=').append(a.outcome == null ? "OUT" : a.outcome);
+            }
+            return attempts.isEmpty() ? " before any attempt" : text.toString();
+        }
+
         boolean mayHaveRun() {
             return attempts.stream().anyMatch(a -> a.outcome == null || !a.outcome.provesNotRun);
         }
