--- a/lab/src/main/java/passhatch/lab/discovery/CallCosts.java
+++ b/lab/src/main/java/passhatch/lab/discovery/CallCosts.java
@@ -10,8 +10,15 @@
  * @param perLine and for each backend in its answer
  * @param longestWait a call that waited for so long is answered 503
  * @param longestQueue a call that finds so many waiting is answered 503 at once
+ * @param perRefusal time for each call that is answered 503
  */
-public record CallCosts(Duration perCall, Duration perLine, Duration longestWait, int longestQueue) {
+public record CallCosts(Duration perCall, Duration perLine, Duration longestWait, int longestQueue,
+        Duration perRefusal) {
+
+    /** Costs where it costs nothing to turn a call away. */
+    public CallCosts(Duration perCall, Duration perLine, Duration longestWait, int longestQueue) {
+        this(perCall, perLine, longestWait, longestQueue, Duration.ZERO);
+    }
 
     /** Calls that cost nothing but the processor time that they take. */
     public static final CallCosts NONE = new CallCosts(Duration.ZERO, Duration.ZERO, Duration.ofSeconds(2),
--- a/lab/src/main/java/passhatch/lab/discovery/CallQueue.java
+++ b/lab/src/main/java/passhatch/lab/discovery/CallQueue.java
@@ -48,11 +48,17 @@
     }
 
     void add(Call call) {
+        long now = nanos.getAsLong();
         if (waiting.size() >= costs.longestQueue()) {
+            // Whoever turns calls away does not serve others meanwhile: a crowd that asks again at once
+            // takes the time of those that wait.
+            doneAtNs = Math.max(doneAtNs, now) + costs.perRefusal().toNanos();
             call.turnAway();
+            if (inService != null) {
+                schedule(doneAtNs - now);
+            }
             return;
         }
-        long now = nanos.getAsLong();
         waiting.add(new Waiting(call, now));
         if (inService == null) {
             advance();
--- a/lab/src/main/java/passhatch/lab/discovery/Endpoint.java
+++ b/lab/src/main/java/passhatch/lab/discovery/Endpoint.java
@@ -33,7 +33,8 @@
         return new Endpoint(name, address, zone, type, group, other, weight, sinceMs);
     }
 
-    Map<String, Object> json() {
+    /** The entry as discovery writes it. */
+    public Map<String, Object> json() {
         Map<String, Object> json = new LinkedHashMap<>();
         json.put("name", name);
         json.put("address", address);
--- a/lab/src/main/java/passhatch/lab/latency/ServedProxy.java
+++ b/lab/src/main/java/passhatch/lab/latency/ServedProxy.java
@@ -17,9 +17,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
 import java.util.stream.Stream;
+import passhatch.lab.ServiceCommand;
 
 /** A proxy in a process of its own, started as the deploy file's {@code run} says. */
 final class ServedProxy implements Closeable {
@@ -33,7 +32,6 @@
     private static final Duration START = Duration.ofSeconds(30);
     private static final int POLL_MS = 50;
     private static final int SOCKETS = 1_024;
-    private static final Pattern RUN = Pattern.compile("(?m)^run\\s*=\\s*\"((?:[^\"\\\\]|\\\\.)*)\"");
 
     private final Process process;
     private final InetSocketAddress address;
@@ -50,7 +48,8 @@
         address = freeAddress();
         Path config = folder.resolve("config.json");
         Files.writeString(config, JSON.std.asString(config()));
-        ProcessBuilder builder = new ProcessBuilder(cores.onProxys(List.of("/bin/sh", "-c", command(root))));
+        ProcessBuilder builder = new ProcessBuilder(
+                cores.onProxys(List.of("/bin/sh", "-c", ServiceCommand.run(root))));
         builder.environment().putAll(Map.of("PROXY_NAME", "n0", "PROXY_LISTEN", text(address),
                 "PROXY_DISCOVERY", text(discovery), "PROXY_CONFIG", config.toString(),
                 "TMPDIR", folder.toString()));
@@ -61,15 +60,6 @@
         awaitReady();
     }
 
-    /** The command that the deploy file runs proxies with. */
-    static String command(Path root) throws IOException {
-        Matcher run = RUN.matcher(Files.readString(root.resolve("deploy/balancer.toml")));
-        if (!run.find()) {
-            throw new IOException("deploy/balancer.toml has no line 'run'");
-        }
-        return run.group(1).replace("\\\"", "\"").replace("\\\\", "\\");
-    }
-
     private static Map<String, Object> config() {
         Map<String, Object> kind = Map.of("name", "any", "effect", "pure", "goalTimeUs", 1_000_000,
                 "deadlineUs", DEADLINE_MS * 1_000, "worth", 1, "group", "all");
--- /dev/null
+++ b/lab/src/main/java/passhatch/lab/soak/FaultyBackends.java
@@ -0,0 +1,202 @@
+package passhatch.lab.soak;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.io.Closeable;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import passhatch.lab.soak.Ledger.Arrival;
+
+/** Backends on loopback that can be made to fail, on one thread; each request that arrives is recorded. */
+final class FaultyBackends implements Closeable {
+
+    /** How a backend fares. */
+    enum Mode {
+        SERVING,
+        /** It takes requests and says nothing. */
+        HANGING,
+        /** It answers most of them 500. */
+        ERRING,
+        /** It resets connections under requests and under answers. */
+        RESETTING,
+        /** Its queue is full: 503 with the promise that nothing ran. */
+        FULL
+    }
+
+    /** Not the usual loopback address: there a connection might take the port of one that is down. */
+    static final String HOST = "127.2.0.1";
+    private static final int MEAN_SERVICE_US = 15_000;
+    private static final int MOST_BODY = 1 << 16;
+    /** Part of the requests that a fault strikes. */
+    private static final double STRUCK = 0.6;
+    private static final long NANOS_PER_MICRO = 1_000;
+
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1,
+            new DefaultThreadFactory("faulty-backends", true), NioIoHandler.newFactory());
+    private final EventLoop loop = group.next();
+    private final Ledger ledger;
+    private final SplittableRandom random;
+    private final List<Backend> backends = new ArrayList<>();
+
+    FaultyBackends(int count, long seed, Ledger ledger) {
+        this.ledger = ledger;
+        this.random = new SplittableRandom(seed);
+        for (int i = 0; i < count; i++) {
+            Backend backend = new Backend("s-" + i);
+            backend.listen(new InetSocketAddress(HOST, 0));
+            backends.add(backend);
+        }
+    }
+
+    String name(int backend) {
+        return backends.get(backend).name;
+    }
+
+    InetSocketAddress address(int backend) {
+        return backends.get(backend).address;
+    }
+
+    int count() {
+        return backends.size();
+    }
+
+    void mode(int backend, Mode mode) {
+        inLoop(() -> backends.get(backend).mode = mode);
+    }
+
+    /** Its process dies: connections are reset, new ones refused. */
+    void crash(int backend) {
+        Backend it = backends.get(backend);
+        Channel listener = it.listener;
+        listener.close().syncUninterruptibly();
+        inLoop(() -> Set.copyOf(it.open).forEach(Backend::reset));
+    }
+
+    /** It runs again at the same address. */
+    void restart(int backend) {
+        Backend it = backends.get(backend);
+        inLoop(() -> it.mode = Mode.SERVING);
+        it.listen(it.address);
+    }
+
+    private void inLoop(Runnable what) {
+        loop.submit(what).syncUninterruptibly();
+    }
+
+    @Override
+    public void close() {
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+    }
+
+    private final class Backend {
+        private final String name;
+        private final Set<Channel> open = new HashSet<>();
+        private Mode mode = Mode.SERVING;
+        private InetSocketAddress address;
+        private Channel listener;
+
+        Backend(String name) {
+            this.name = name;
+        }
+
+        void listen(InetSocketAddress at) {
+            listener = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
+                    .option(ChannelOption.SO_REUSEADDR, true)
+                    .childOption(ChannelOption.TCP_NODELAY, true)
+                    .childHandler(new ChannelInitializer<SocketChannel>() {
+                        @Override
+                        protected void initChannel(SocketChannel ch) {
+                            open.add(ch);
+                            ch.closeFuture().addListener(closed -> open.remove(ch));
+                            ch.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(MOST_BODY),
+                                    new Answering(Backend.this));
+                        }
+                    })
+                    .bind(at).syncUninterruptibly().channel();
+            address = (InetSocketAddress) listener.localAddress();
+        }
+
+        static void reset(Channel channel) {
+            if (channel.isOpen()) {
+                channel.config().setOption(ChannelOption.SO_LINGER, 0);
+                channel.close();
+            }
+        }
+    }
+
+    private final class Answering extends SimpleChannelInboundHandler<FullHttpRequest> {
+        private final Backend backend;
+
+        Answering(Backend backend) {
+            this.backend = backend;
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
+            boolean struck = random.nextDouble() < STRUCK;
+            Mode mode = struck || backend.mode == Mode.HANGING ? backend.mode : Mode.SERVING;
+            String id = request.headers().get("X-Request-Id", "");
+            ledger.add(new Arrival(id, backend.name, System.nanoTime(), left(request), mode != Mode.FULL));
+            long serviceUs = (long) (-Math.log(1 - random.nextDouble()) * MEAN_SERVICE_US);
+            switch (mode) {
+                case HANGING -> { }
+                case FULL -> answer(ctx, HttpResponseStatus.SERVICE_UNAVAILABLE, "", true);
+                case ERRING -> after(serviceUs, () -> answer(ctx, HttpResponseStatus.INTERNAL_SERVER_ERROR,
+                        "", false));
+                case RESETTING -> after(serviceUs, () -> Backend.reset(ctx.channel()));
+                case SERVING -> after(serviceUs, () -> answer(ctx, HttpResponseStatus.OK,
+                        LoadClient.answerTo(id), false));
+                default -> throw new IllegalStateException(mode.name());
+            }
+        }
+
+        private void after(long us, Runnable what) {
+            loop.schedule(what, us, TimeUnit.MICROSECONDS);
+        }
+
+        private long left(FullHttpRequest request) {
+            String deadline = request.headers().get("X-Deadline", "0u");
+            return Long.parseLong(deadline.substring(0, deadline.length() - 1)) * NANOS_PER_MICRO;
+        }
+
+        private void answer(ChannelHandlerContext ctx, HttpResponseStatus status, String body,
+                boolean notRun) {
+            DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
+                    Unpooled.copiedBuffer(body, StandardCharsets.US_ASCII));
+            response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length());
+            if (notRun) {
+                response.headers().set("X-Not-Run", "1");
+            }
+            ctx.writeAndFlush(response);
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/passhatch/lab/soak/RequestKind.java
@@ -0,0 +1,53 @@
+package passhatch.lab.soak;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+
+/** The classes of requests in a soak, one for each effect that the protocol knows. */
+enum RequestKind {
+    /** Safe to repeat. */
+    READ("read", "pure", Duration.ofMillis(1_500)),
+    /** Dropped by every server when it is repeated within {@link #DEDUP_WINDOW}. */
+    KEYED("keyed", "token", Duration.ofMillis(1_500)),
+    /** Must never run twice. */
+    UNSAFE("unsafe", "side_effect", Duration.ofMillis(2_000));
+
+    /** How long servers drop repeats of a keyed request. */
+    static final Duration DEDUP_WINDOW = Duration.ofMillis(900);
+    /** The longest time that a client waits. */
+    static final Duration LONGEST_DEADLINE = UNSAFE.deadline;
+
+    final String path;
+    final Duration deadline;
+    private final String effect;
+
+    RequestKind(String path, String effect, Duration deadline) {
+        this.path = path;
+        this.effect = effect;
+        this.deadline = deadline;
+    }
+
+    private static long micros(Duration span) {
+        return span.toNanos() / 1_000;
+    }
+
+    /** The class as a proxy's settings have it. */
+    Map<String, Object> settings() {
+        Map<String, Object> json = new HashMap<>(Map.of("name", path, "effect", effect,
+                "goalTimeUs", micros(deadline) / 2, "deadlineUs", micros(deadline), "worth", 1,
+                "lateWorth", 0.5, "group", "all"));
+        if (this == KEYED) {
+            json.put("dedupWindowUs", micros(DEDUP_WINDOW));
+        }
+        return json;
+    }
+
+    /** The head of a request without a body, which is all of it. */
+    String message(String id, Duration left) {
+        String start = this == READ ? "GET" : "POST";
+        return start + " /" + path + "/1 HTTP/1.1\r\nHost: soak\r\nX-Request-Id: " + id + "\r\nX-Deadline: "
+                + micros(left) + "u\r\n" + (this == READ ? "" : "Content-Length: 0\r\n")
+                + (this == KEYED ? "Idempotency-Key: " + id + "\r\n" : "") + "\r\n";
+    }
+}
--- /dev/null
+++ b/lab/src/test/java/passhatch/lab/soak/DiscoveryCrowdTest.java
@@ -0,0 +1,44 @@
+package passhatch.lab.soak;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import passhatch.lab.discovery.CallCosts;
+import passhatch.lab.discovery.DiscoveryServer;
+import passhatch.lab.discovery.Endpoint.Status;
+
+/**
+ * The incident of 2026-12-02 with real processes: discovery refuses all calls for some seconds, and a
+ * server is removed once it serves again. Its capacity is enough for a fleet that waits between calls, and
+ * not for one that asks several times a second.
+ */
+@Timeout(180)
+final class DiscoveryCrowdTest {
+
+    private static final int PROXIES = 24;
+    private static final CallCosts COSTS = new CallCosts(Duration.ofMillis(50), Duration.ZERO,
+            Duration.ofSeconds(3), 2, Duration.ofMillis(50));
+
+    @TempDir
+    Path folder;
+
+    @Test
+    void aFleetThatWasRefusedHearsOfARemovalInTime() throws Exception {
+        SoakRun.Size size = new SoakRun.Size(PROXIES, 6, Duration.ZERO, 0, true, COSTS);
+        try (SoakRun run = new SoakRun(Path.of(".."), folder, 1, size)) {
+            run.start();
+            run.load();
+            run.discoveryFails(DiscoveryServer.Mode.FAILING, Duration.ofSeconds(5));
+            run.remove(0, Status.DELETED);
+            Duration told = Oracle.TOLD.plus(ProxyInstance.DRAIN_GRACE);
+            TimeUnit.MILLISECONDS.sleep(told.plusSeconds(3).toMillis());
+            assertEquals(List.of(), run.finish(1).violations());
+        }
+    }
+}
--- a/src/test/java/passhatch/proxy/DiscoveryTest.java
+++ b/src/test/java/passhatch/proxy/DiscoveryTest.java
@@ -233,6 +233,30 @@
         }
     }
 
+    /**
+     * Each refusal is followed by one call, later each time. Were a timer of the call before left running,
+     * both would call, and a fleet would hold discovery in the state in which it refuses.
+     */
+    @Test
+    void refusedCallsFollowEachOtherLaterEachTime() throws Exception {
+        int count = 9;
+        rig.replace("\"pushed\"", "\"on_request\"")
+                .replace("\"drainGraceUs\"", "\"askEveryUs\":10000000,\"drainGraceUs\"");
+        BlockingQueue<Long> calls = new LinkedBlockingQueue<>();
+        try (ScriptedServer discovery = new ScriptedServer((connection, request) -> {
+            calls.add(System.nanoTime());
+            connection.answer("503 Crowded", "");
+        })) {
+            rig.startWithoutList(discovery.address());
+            long first = calls.take();
+            long last = first;
+            for (int i = 1; i < count; i++) {
+                last = calls.take();
+            }
+            assertTrue(last - first > 5_000_000_000L, count + " calls came within " + (last - first) + " ns");
+        }
+    }
+
     /** What is written counts as told, so this cannot wait for the 4.5 s that a silent watch is given. */
     @Test
     void aWatchThatBreaksOffWithinAListIsOpenedAnewAtOnce() throws Exception {
