Back off from a discovery that refuses calls, with one timer for the next call

Cause: each failed call left a timer of 1 s running (Discovery.askAgain scheduled it and nothing cancelled it when the module called sooner), beside the module's own pause. Calls multiplied to some three a second for each proxy, whatever the backoff said; 91 proxies made 250 calls a second, all refused, and so kept discovery refusing after it was back. Proxies without a list went on sending to servers that counted as told gone. Class: timers without one owner, so that retries multiply (retry storm). Change: Discovery has one timer for the next call and cancels it when a call begins, a later pause is set, it moves or stops.

--- a/lab/src/main/java/passhatch/proxy/ObservedBalancer.java
+++ b/lab/src/main/java/passhatch/proxy/ObservedBalancer.java
@@ -21,8 +21,8 @@
     }
 
     @Override
-    public void discoveryFailed(long nowUs) {
-        balancer.discoveryFailed(nowUs);
+    public void discoveryFailed(long nowUs, DiscoveryFailure how) {
+        balancer.discoveryFailed(nowUs, how);
     }
 
     @Override
--- a/src/main/java/passhatch/Balancer.java
+++ b/src/main/java/passhatch/Balancer.java
@@ -229,6 +229,14 @@
      */
     record LoadReport(double inFlight, double queue, double utilisation) { }
 
+    /** How a call to discovery failed. */
+    enum DiscoveryFailure {
+        /** It was turned away: discovery is down behind its front, or has too many callers. */
+        REFUSED,
+        /** It did not come up, broke, or got no answer. */
+        UNANSWERED
+    }
+
     /** Why a request ends without an answer from a server. */
     enum GiveUpReason {
         /** Too little of its client's time is left for any server. */
@@ -284,7 +292,7 @@
     void serversChanged(long nowUs, ListKind kind, List<Server> servers);
 
     /** A call to discovery failed or its subscription broke; the list held stays in force. */
-    void discoveryFailed(long nowUs);
+    void discoveryFailed(long nowUs, DiscoveryFailure how);
 
     /** A new request; it must get one final answer. */
     void request(long nowUs, Request request);
--- a/src/main/java/passhatch/Logic.java
+++ b/src/main/java/passhatch/Logic.java
@@ -25,8 +25,8 @@
     private static final double CHANCE_STREAK = 0.001;
     /** How long a server rests: a few tries a minute do no harm, and a restart takes some seconds. */
     private static final long FAIL_TIMEOUT_US = 3_000_000;
-    /** First pause before discovery is asked again; doubled at each failure. */
-    private static final long ASK_AGAIN_US = 250_000;
+    /** Calls to discovery that are tried within the time after which an unasked list counts as told. */
+    private static final int ASKS_WITHIN = 4;
     /** Part of the whole that probes may cost over all tiers; where two a call are dearer, none is sent. */
     private static final double PROBE_SPEND = 0.02;
     /** Probes sent at a time before a call: one may be lost or slow, more than two would mostly be wasted. */
@@ -136,7 +136,7 @@
     private boolean begun;
     private boolean watching;
     private long askAtUs = Long.MAX_VALUE;
-    private int askFailures;
+    private final DiscoveryBackoff discoveryBackoff;
     /** Probes that the price allows for each call, and those saved up. */
     private final double probesEarned;
     private double probes;
@@ -165,6 +165,7 @@
         this.random = new SplittableRandom(seed);
         this.subsets = List.of(new Subsetting(settings.copy(), settings.copies()),
                 new Subsetting(settings.copy(), settings.copies()));
+        this.discoveryBackoff = new DiscoveryBackoff(settings.rules().askWithinUs() / ASKS_WITHIN, random);
         this.queue = new CallQueue(settings.classes().size());
         this.shares = new TenantShares(settings.tenants().size());
         this.shortestAimUs = settings.classes().stream().mapToLong(RequestClass::aimUs).min().orElseThrow();
@@ -196,7 +197,7 @@
             askAtUs = settings.watch() ? nowUs : Long.MAX_VALUE;
         } else if (settings.watch()) {
             watching = true;
-            askFailures = 0;
+            discoveryBackoff.reset();
             askAtUs = Long.MAX_VALUE;
         }
         lookAtUs = nowUs;
@@ -376,11 +377,9 @@
     }
 
     @Override
-    public void discoveryFailed(long nowUs) {
+    public void discoveryFailed(long nowUs, DiscoveryFailure how) {
         watching = false;
-        long pause = ASK_AGAIN_US << Math.min(askFailures++, 6);
-        long most = settings.rules().askWithinUs() > 0 ? settings.rules().askWithinUs() / 4 : pause;
-        askAtUs = nowUs + (long) (Math.min(pause, most) * (0.5 + random.nextDouble()));
+        askAtUs = nowUs + discoveryBackoff.nextPauseUs(how);
         advance(nowUs, null);
     }
 
--- a/src/main/java/passhatch/adapter/Wire.java
+++ b/src/main/java/passhatch/adapter/Wire.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import passhatch.Balancer;
 import passhatch.Balancer.Actions;
+import passhatch.Balancer.DiscoveryFailure;
 import passhatch.Balancer.ListKind;
 import passhatch.Balancer.LoadReport;
 import passhatch.Balancer.Outcome;
@@ -160,7 +161,7 @@
     private void listChanged(Balancer balancer, long now, Event e) throws WireException {
         String mode = e.required(e.mode, "mode");
         if (mode.equals("refused")) {
-            balancer.discoveryFailed(now);
+            balancer.discoveryFailed(now, DiscoveryFailure.REFUSED);
             return;
         }
         ListKind kind = switch (mode) {
--- a/src/main/java/passhatch/proxy/Discovery.java
+++ b/src/main/java/passhatch/proxy/Discovery.java
@@ -27,7 +27,9 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import passhatch.Balancer.DiscoveryFailure;
 import passhatch.proxy.EventLog.Kind;
 
 /**
@@ -50,9 +52,12 @@
     private static final int CONNECT_TIMEOUT_MS = 1_000;
     /**
      * Where the module does the asking, a call is made so long after one that failed, if it has made none: a
-     * change counts as told 6 s after discovery could be reached, however long it was down before.
+     * change counts as told 6 s after discovery could be reached, however long it was down before. It is
+     * longer than the longest pause of the module.
      */
-    private static final long LONGEST_ASK_PAUSE_MS = 1_000;
+    private static final long LONGEST_ASK_PAUSE_MS = 2_600;
+    /** Pauses are drawn between this part of their length and the whole, so that proxies spread out. */
+    private static final double LEAST_PART_OF_PAUSE = 0.5;
     /** What is longer than this is no list of backends. */
     private static final int LONGEST_OBJECT = 1 << 22;
 
@@ -61,7 +66,7 @@
         void listed(EndpointList list);
 
         /** The call or the watch failed. */
-        void failed();
+        void failed(DiscoveryFailure how);
     }
 
     private final EventLoop loop;
@@ -78,13 +83,16 @@
     private Watch current;
     /** The watch of the address before, until the present one speaks. */
     private Watch previous;
+    /** The next call; there is one timer at most, so calls that fail do not multiply. */
     private Future<?> next;
+    private final SplittableRandom random;
     private final DiscoveryCalls calls;
 
     Discovery(EventLoop loop, Clock clock, EventLog log, ProxyConfig config, Listener listener) {
         this.loop = loop;
         this.log = log;
         this.calls = new DiscoveryCalls(clock, log);
+        this.random = new SplittableRandom(config.seed());
         this.zones = config.zones();
         this.models = config.models();
         this.address = config.discovery();
@@ -103,6 +111,7 @@
         if (stopped || current != null && current.channel.isOpen()) {
             return;
         }
+        cancelNext();
         boolean fetch = whole;
         String path = fetch ? "/v1/endpoints" : "/v1/endpoints?watch=1&from=" + index;
         Watch watch = new Watch(fetch, calls.begin(fetch ? "list" : "watch from " + index));
@@ -150,9 +159,7 @@
         index = 0;
         whole = true;
         pauseMs = FIRST_PAUSE_MS;
-        if (next != null) {
-            next.cancel(false);
-        }
+        cancelNext();
         if (current != null && current.heard) {
             endPrevious();
             previous = current;
@@ -161,7 +168,7 @@
         }
         current = null;
         if (onRequest) {
-            askAgain();
+            askAgain(DiscoveryFailure.UNANSWERED);
         } else {
             watch();
         }
@@ -169,6 +176,7 @@
 
     void stop() {
         stopped = true;
+        cancelNext();
         endPrevious();
         if (current != null) {
             current.channel.close();
@@ -191,17 +199,29 @@
             return;
         }
         if (onRequest) {
-            askAgain();
+            askAgain(watch.call.wasTurnedAway() ? DiscoveryFailure.REFUSED : DiscoveryFailure.UNANSWERED);
             return;
         }
-        next = loop.schedule(this::watch, pauseMs, TimeUnit.MILLISECONDS);
+        callIn((long) (pauseMs * (LEAST_PART_OF_PAUSE + (1 - LEAST_PART_OF_PAUSE) * random.nextDouble())));
         pauseMs = Math.min(LONGEST_PAUSE_MS, pauseMs * 2);
     }
 
     /** The module hears of it and says when to ask again, within a limit. */
-    private void askAgain() {
-        next = loop.schedule(this::watch, LONGEST_ASK_PAUSE_MS, TimeUnit.MILLISECONDS);
-        listener.failed();
+    private void askAgain(DiscoveryFailure how) {
+        callIn(LONGEST_ASK_PAUSE_MS);
+        listener.failed(how);
+    }
+
+    private void callIn(long ms) {
+        cancelNext();
+        next = loop.schedule(this::watch, ms, TimeUnit.MILLISECONDS);
+    }
+
+    private void cancelNext() {
+        if (next != null) {
+            next.cancel(false);
+            next = null;
+        }
     }
 
     /** One answer of discovery: objects of JSON one after the other, or one whole list. */
--- a/src/main/java/passhatch/proxy/DiscoveryCalls.java
+++ b/src/main/java/passhatch/proxy/DiscoveryCalls.java
@@ -53,6 +53,10 @@
             }
         }
 
+        boolean wasTurnedAway() {
+            return end == End.TURNED_AWAY;
+        }
+
         @Override
         public String toString() {
             return "discovery call " + number + " (" + request + ")";
--- a/src/main/java/passhatch/proxy/ProxyLoop.java
+++ b/src/main/java/passhatch/proxy/ProxyLoop.java
@@ -23,6 +23,7 @@
 import java.util.concurrent.TimeUnit;
 import passhatch.Balancer;
 import passhatch.Balancer.Actions;
+import passhatch.Balancer.DiscoveryFailure;
 import passhatch.Balancer.GiveUpReason;
 import passhatch.Balancer.ListKind;
 import passhatch.Balancer.LoadReport;
@@ -186,8 +187,8 @@
     }
 
     @Override
-    public void failed() {
-        tell(null, () -> balancer.discoveryFailed(clock.nowUs()));
+    public void failed(DiscoveryFailure how) {
+        tell(null, () -> balancer.discoveryFailed(clock.nowUs(), how));
     }
 
     /**
--- a/src/test/java/passhatch/LogicTest.java
+++ b/src/test/java/passhatch/LogicTest.java
@@ -600,7 +600,7 @@
             assertEquals(1, p.count("watch"));
             long last = 0;
             for (int i = 1; i < 6; i++) {
-                p.logic.discoveryFailed(p.now);
+                p.logic.discoveryFailed(p.now, Balancer.DiscoveryFailure.REFUSED);
                 long failed = p.now;
                 while (p.count("watch") == i) {
                     p.pass(10);
@@ -614,7 +614,7 @@
         @Test
         void followsNoListUnaskedWhereItIsPushed() {
             Proxy p = new Proxy(setup()).with("a");
-            p.logic.discoveryFailed(p.now);
+            p.logic.discoveryFailed(p.now, Balancer.DiscoveryFailure.REFUSED);
             assertEquals(0, p.count("watch"));
         }
     }
