--- a/src/main/java/passhatch/Logic.java
+++ b/src/main/java/passhatch/Logic.java
@@ -132,6 +132,7 @@
     private final double shortestAimUs;
     private final double leastWorth;
     private final RetryBudget retries = new RetryBudget();
+    private final AttemptRules rules;
     private long wakeAtUs = Long.MAX_VALUE;
     private boolean begun;
     private boolean watching;
@@ -162,6 +163,7 @@
         this.settings = settings;
         this.actions = Objects.requireNonNull(actions, "actions");
         this.log = new OperatorLog(actions);
+        this.rules = new AttemptRules(settings.limits().maxAttempts());
         this.random = new SplittableRandom(seed);
         this.subsets = List.of(new Subsetting(settings.copy(), settings.copies()),
                 new Subsetting(settings.copy(), settings.copies()));
@@ -630,7 +632,7 @@
     }
 
     private static boolean open(long nowUs, Call call, Backend s) {
-        return s.inUse(nowUs) && mayUse(call, s);
+        return s.inUse(nowUs) && AttemptRules.mayUse(call, s);
     }
 
     /**
@@ -699,79 +701,15 @@
         return cut > CUT && s.inFlight == 0 && s.reachedUs <= nowUs - settings.limits().keepaliveUs();
     }
 
-    /** Whether the class may run on the server. Where none that may is in use, its calls wait for one. */
-    private static boolean placed(RequestClass kind, Backend s) {
-        return (kind.zones() == null || kind.zones().contains(s.zone))
-                && (kind.models() == null || kind.models().contains(s.model));
-    }
-
-    /**
-     * False for servers that are closed to its class, that this call tried before, or that would not drop
-     * its repeat.
-     */
-    private static boolean mayUse(Call call, Backend s) {
-        if (!placed(call.kind, s)) {
-            return false;
-        }
-        for (Attempt a : call.attempts) {
-            if (a.server == s) {
-                return false;
-            }
-        }
-        Attempt mayHaveRun = call.mayHaveRun();
-        if (mayHaveRun == null || call.kind.effect() == Effect.SAFE) {
-            return true;
-        }
-        Backend first = mayHaveRun.server;
-        return switch (call.kind.group()) {
-            case ALL -> true;
-            case ZONE -> s.zone == first.zone;
-            case CELL -> s.zone == first.zone && s.group == first.group;
-        };
-    }
-
     /** Whether the call may be sent once more, after its attempts so far. */
     private boolean mayRepeat(long nowUs, Call call) {
-        return whyNotRepeat(nowUs, call) == null;
-    }
-
-    /** What forbids to send the call once more; null where nothing does. */
-    private GiveUpReason whyNotRepeat(long nowUs, Call call) {
-        if (call.spent) {
-            return GiveUpReason.BODY_NOT_HELD;
-        }
-        if (call.attempts.size() >= settings.limits().maxAttempts()) {
-            return GiveUpReason.ATTEMPTS_USED;
-        }
-        if (nowUs >= call.endAtUs) {
-            return GiveUpReason.NO_TIME;
-        }
-        Attempt mayHaveRun = call.mayHaveRun();
-        return mayHaveRun == null || mayFollow(nowUs, call, mayHaveRun) ? null : GiveUpReason.MAY_HAVE_RUN;
-    }
-
-    /** Whether another attempt may be written after one that may have run. */
-    private static boolean mayFollow(long nowUs, Call call, Attempt mayHaveRun) {
-        return switch (call.kind.effect()) {
-            case SAFE -> true;
-            case KEYED -> nowUs - mayHaveRun.sentAtUs < call.kind.dedupWindowUs();
-            case UNSAFE -> false;
-        };
+        return rules.whyNotRepeat(nowUs, call) == null;
     }
 
     @Override
     public boolean maySend(long nowUs, String id, int number) {
         Call call = calls.get(id);
-        if (call == null || call.ended || !call.arriving && nowUs >= call.deadlineUs) {
-            return false;
-        }
-        Attempt attempt = call.attempts.get(number);
-        for (Attempt other : call.attempts) {
-            if (other != attempt && !other.provedNotRun && !mayFollow(nowUs, call, other)) {
-                return false;
-            }
-        }
-        return !attempt.server.out;
+        return call != null && AttemptRules.mayWrite(nowUs, call, call.attempts.get(number));
     }
 
     @Override
@@ -918,7 +856,7 @@
     private void again(long nowUs, Call call, Outcome outcome) {
         double price = outcome.provesNotRun ? 0 : 1;
         GiveUpReason forbidden = outcome == Outcome.REJECTED ? GiveUpReason.REJECTED
-                : whyNotRepeat(nowUs, call);
+                : rules.whyNotRepeat(nowUs, call);
         if (forbidden == null && !retries.affords(price)) {
             forbidden = GiveUpReason.RETRY_BUDGET;
         }
@@ -936,7 +874,7 @@
         actions.givesUp(call.request.id(), reason);
         boolean timeLeft = nowUs + leastUs(call) < call.endAtUs;
         long retryAfterUs = settings.limits().maxRetryAfterUs();
-        if (mayRefuse(call) && (timeLeft || retryAfterUs > 0)) {
+        if (AttemptRules.mayRefuse(call) && (timeLeft || retryAfterUs > 0)) {
             // A client told nothing would use up its tries within milliseconds.
             long soonUs = Math.min((long) times.callUs, retryAfterUs);
             actions.refuse(call.request.id(), timeLeft ? soonUs : retryAfterUs);
@@ -946,11 +884,6 @@
         forget(call);
     }
 
-    private static boolean mayRefuse(Call call) {
-        return call.mayHaveRun() == null || call.kind.effect() == Effect.SAFE
-                || call.kind.effect() == Effect.KEYED && call.kind.group() == DedupGroup.ALL;
-    }
-
     private void forget(Call call) {
         if (call.ended && call.out == 0) {
             calls.remove(call.request.id());
@@ -1133,8 +1066,9 @@
 
     /** Offers a server that changed to the queued calls. */
     private void offer(long nowUs, Backend s) {
-        queue.offer(REFUSALS, lane -> s.inUse(nowUs) && placed(settings.classes().get(lane), s),
-                call -> mayUse(call, s), call -> s.inUse(nowUs) && usable(nowUs, call, s),
+        queue.offer(REFUSALS,
+                lane -> s.inUse(nowUs) && AttemptRules.mayRunAt(settings.classes().get(lane), s),
+                call -> AttemptRules.mayUse(call, s), call -> s.inUse(nowUs) && usable(nowUs, call, s),
                 call -> dispatch(nowUs, call));
     }
 
