--- a/lab/src/main/c/fault_shim.c
+++ b/lab/src/main/c/fault_shim.c
@@ -23,6 +23,8 @@
     int32_t accept_errno;
     int32_t connect_permille;
     int32_t connect_errno;
+    int32_t socket_permille;
+    int32_t socket_errno;
 };
 
 static volatile struct faults none;
@@ -107,6 +109,19 @@
     return accept4(fd, address, length, 0);
 }
 
+int socket(int domain, int type, int protocol)
+{
+    static int (*real)(int, int, int);
+    if (!real) {
+        real = (int (*)(int, int, int))dlsym(RTLD_NEXT, "socket");
+    }
+    if (strikes(active->socket_permille)) {
+        errno = active->socket_errno;
+        return -1;
+    }
+    return real(domain, type, protocol);
+}
+
 int connect(int fd, const struct sockaddr *address, socklen_t length)
 {
     static int (*real)(int, const struct sockaddr *, socklen_t);
--- a/lab/src/main/java/passhatch/lab/Lab.java
+++ b/lab/src/main/java/passhatch/lab/Lab.java
@@ -12,6 +12,7 @@
             FleetCommand.class,
             ControlCommand.class,
             LatencyCommand.class,
+            SoakCommand.class,
         })
 public final class Lab {
 
--- /dev/null
+++ b/lab/src/main/java/passhatch/lab/SoakCommand.java
@@ -0,0 +1,73 @@
+package passhatch.lab;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.concurrent.Callable;
+import passhatch.lab.discovery.CallCosts;
+import passhatch.lab.soak.SoakRun;
+import passhatch.lab.soak.SoakRun.Report;
+import passhatch.lab.soak.SoakRun.Size;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/** Plays random faults against real processes and holds what was seen against the protocol's rules. */
+@Command(name = "soak", mixinStandardHelpOptions = true,
+        description = "Real proxies under faults that overlap in time; ends with 1 where a rule broke.")
+final class SoakCommand implements Callable<Integer> {
+
+    private static final int VIOLATIONS_SHOWN = 10;
+
+    @Option(names = "--root", defaultValue = ".", paramLabel = "DIR",
+            description = "folder of the project, with the service built (default: ${DEFAULT-VALUE})")
+    private Path root;
+
+    @Option(names = "--logs", defaultValue = "lab/target/soak", paramLabel = "DIR",
+            description = "where configurations and logs go (default: ${DEFAULT-VALUE})")
+    private Path logs;
+
+    @Option(names = "--seed", defaultValue = "1", description = "the first seed (default: ${DEFAULT-VALUE})")
+    private long seed;
+
+    @Option(names = "--runs", defaultValue = "1",
+            description = "runs, each with the next seed (default: ${DEFAULT-VALUE})")
+    private int runs;
+
+    @Option(names = "--proxies", defaultValue = "10",
+            description = "real processes, 10 to 40 (default: ${DEFAULT-VALUE})")
+    private int proxies;
+
+    @Option(names = "--backends", defaultValue = "10", description = "default: ${DEFAULT-VALUE}")
+    private int backends;
+
+    @Option(names = "--seconds", defaultValue = "30", description = "of each run (default: ${DEFAULT-VALUE})")
+    private int seconds;
+
+    @Option(names = "--faults", defaultValue = "1.0", paramLabel = "N",
+            description = "faults that begin in a second, on average (default: ${DEFAULT-VALUE})")
+    private double faultsPerSecond;
+
+    @Override
+    public Integer call() throws IOException, InterruptedException {
+        int broken = 0;
+        for (long next = seed; next < seed + runs; next++) {
+            // Every other seed has its lists pushed.
+            Size size = new Size(proxies, backends, Duration.ofSeconds(seconds), faultsPerSecond,
+                    next % 2 == 0, new CallCosts(Duration.ofMillis(20), Duration.ZERO, Duration.ofSeconds(3),
+                            proxies, Duration.ofMillis(5)));
+            Report report = play(next, size);
+            System.out.println(report);
+            report.violations().stream().limit(VIOLATIONS_SHOWN).forEach(v -> System.out.println("  " + v));
+            broken += report.violations().isEmpty() ? 0 : 1;
+        }
+        System.out.println(runs - broken + " of " + runs + " runs kept all rules");
+        return broken == 0 ? 0 : 1;
+    }
+
+    private Report play(long one, Size size) throws IOException, InterruptedException {
+        try (SoakRun run = new SoakRun(root, logs.resolve("seed-" + one), one, size)) {
+            run.start();
+            return run.play();
+        }
+    }
+}
--- a/lab/src/main/java/passhatch/lab/soak/FaultPlan.java
+++ b/lab/src/main/java/passhatch/lab/soak/FaultPlan.java
@@ -43,7 +43,8 @@
         PROXY_PAUSED(20, 120),
         CLOCK_STEPPED(3_000, 15_000),
         ACCEPT_FAILS(500, 4_000),
-        CONNECT_FAILS(500, 4_000);
+        CONNECT_FAILS(500, 4_000),
+        SOCKET_FAILS(500, 4_000);
 
         private final int leastMs;
         private final int mostMs;
--- a/lab/src/main/java/passhatch/lab/soak/FaultShim.java
+++ b/lab/src/main/java/passhatch/lab/soak/FaultShim.java
@@ -30,7 +30,8 @@
     private static final int CLOCK_STEP = 0;
     private static final int ACCEPT = 8;
     private static final int CONNECT = 16;
-    private static final int SIZE = 24;
+    private static final int SOCKET = 24;
+    private static final int SIZE = 32;
     private static final int COMPILE_S = 60;
 
     private final Path library;
@@ -84,6 +85,11 @@
         faults.putInt(ACCEPT + Integer.BYTES, how.number).putInt(ACCEPT, permille);
     }
 
+    /** So many of a thousand calls to socket fail. */
+    void failSocket(int permille, Errno how) {
+        faults.putInt(SOCKET + Integer.BYTES, how.number).putInt(SOCKET, permille);
+    }
+
     /** So many of a thousand calls to connect fail. */
     void failConnect(int permille, Errno how) {
         faults.putInt(CONNECT + Integer.BYTES, how.number).putInt(CONNECT, permille);
--- a/lab/src/main/java/passhatch/lab/soak/Oracle.java
+++ b/lab/src/main/java/passhatch/lab/soak/Oracle.java
@@ -11,15 +11,15 @@
 import passhatch.lab.soak.Ledger.Sent;
 
 /** Holds what was seen in a run against the rules of the protocol, with the slack that its page gives. */
-final class Oracle {
+public final class Oracle {
 
     /** The rules that a run can break. */
-    enum Rule {
+    public enum Rule {
         LOST, DUPLICATE, DRAIN, AFTER_CLIENT_LEFT, AFTER_ANSWER, DEADLINE, CRASH, NOT_READY, SELF_CHECK
     }
 
     /** One break of a rule. */
-    record Violation(Rule rule, String what) {
+    public record Violation(Rule rule, String what) {
         @Override
         public String toString() {
             return rule + ": " + what;
--- a/lab/src/main/java/passhatch/lab/soak/SoakRun.java
+++ b/lab/src/main/java/passhatch/lab/soak/SoakRun.java
@@ -40,6 +40,7 @@
     private static final int WORKERS = 24;
     private static final long HOUR_S = 3_600;
     private static final int SHIM_PERMILLE = 300;
+    private static final int ALL_PERMILLE = 1_000;
     /** SIGKILL follows SIGTERM no sooner than the longest deadline and this. */
     private static final Duration KILL_MARGIN = Duration.ofMillis(700);
     /** Lines of a proxy's log that tell of a fault in the program itself. */
@@ -180,6 +181,14 @@
         list(backend, how, 0);
     }
 
+    /** All calls to socket of every proxy fail for the length, and all watches are reset meanwhile. */
+    void socketsFail(Duration length) throws InterruptedException {
+        proxies.forEach(proxy -> proxy.shim().failSocket(ALL_PERMILLE, FaultShim.Errno.ENFILE));
+        discovery().resetWatches();
+        TimeUnit.MILLISECONDS.sleep(length.toMillis());
+        proxies.forEach(proxy -> proxy.shim().failSocket(0, FaultShim.Errno.ENFILE));
+    }
+
     DiscoveryServer discovery() {
         return discoveries.get(discoveryInUse);
     }
@@ -254,7 +263,7 @@
                 case BACKEND_CRASHED, BACKEND_REMOVED, BACKEND_DRAINED, BACKEND_HANGS, BACKEND_ERRS,
                         BACKEND_RESETS, BACKEND_FULL -> strikeBackend(fault);
                 case PROXY_KILLED, PROXY_TERMINATED, PROXY_PAUSED, CLOCK_STEPPED, ACCEPT_FAILS,
-                        CONNECT_FAILS -> strikeProxy(fault);
+                        CONNECT_FAILS, SOCKET_FAILS -> strikeProxy(fault);
                 default -> throw new IllegalStateException(fault.toString());
             }
         } catch (IOException e) {
@@ -370,11 +379,13 @@
                         default -> -5;
                     }));
             case ACCEPT_FAILS -> proxy.shim().failAccept(SHIM_PERMILLE, error);
-            default -> proxy.shim().failConnect(SHIM_PERMILLE, error);
+            case CONNECT_FAILS -> proxy.shim().failConnect(SHIM_PERMILLE, error);
+            default -> proxy.shim().failSocket(SHIM_PERMILLE, error);
         }
         TimeUnit.MILLISECONDS.sleep(fault.lengthMs());
         proxy.shim().failAccept(0, error);
         proxy.shim().failConnect(0, error);
+        proxy.shim().failSocket(0, error);
     }
 
     private void restart(ProxyInstance proxy, int pauseMs) throws IOException, InterruptedException {
--- /dev/null
+++ b/lab/src/test/java/passhatch/lab/soak/SystemCallFaultsTest.java
@@ -0,0 +1,44 @@
+package passhatch.lab.soak;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import passhatch.lab.discovery.CallCosts;
+import passhatch.lab.discovery.Endpoint.Status;
+
+/** Real processes whose system calls fail for a while. */
+@Timeout(120)
+final class SystemCallFaultsTest {
+
+    private static final int PROXIES = 2;
+    private static final int BACKENDS = 4;
+
+    @TempDir
+    Path folder;
+
+    /** No socket can be made while a watch ends: discovery must be called again, and calls go on. */
+    @Test
+    void aWatchIsOpenedAnewAfterSocketsCouldNotBeMade() throws Exception {
+        for (boolean asked : new boolean[] {true, false}) {
+            SoakRun.Size size = new SoakRun.Size(PROXIES, BACKENDS, Duration.ZERO, 0, asked, CallCosts.NONE);
+            try (SoakRun run = new SoakRun(Path.of(".."), folder.resolve("asked-" + asked), 1, size)) {
+                run.start();
+                run.load();
+                run.socketsFail(Duration.ofSeconds(2));
+                run.remove(0, Status.DELETED);
+                Duration told = Oracle.TOLD.plus(ProxyInstance.DRAIN_GRACE);
+                TimeUnit.MILLISECONDS.sleep(told.plusSeconds(2).toMillis());
+                SoakRun.Report report = run.finish(1);
+                assertEquals(List.of(), report.violations());
+                assertTrue(report.served() * 4 > report.requests(), report.toString());
+            }
+        }
+    }
+}
