Call discovery again, and free the place, where a socket cannot be made

Cause: where socket() fails (ENFILE, EMFILE, ENOBUFS), Netty gives a channel that was never open. Discovery waited for its close before it called again, so one failure ended discovery for the life of the process; BackendPool waited for its close to count the connection out, so each failure took a place for good; and closing it throws, within an action of the module. Class: an end that is heard of by one sign only, which may never come. Change: a call to discovery is over by whichever sign comes first; a connection that does not come up is counted out at once; Channels.close passes over channels that are not open.

--- a/lab/src/main/java/passhatch/lab/soak/SoakRun.java
+++ b/lab/src/main/java/passhatch/lab/soak/SoakRun.java
@@ -43,8 +43,9 @@
     private static final int ALL_PERMILLE = 1_000;
     /** SIGKILL follows SIGTERM no sooner than the longest deadline and this. */
     private static final Duration KILL_MARGIN = Duration.ofMillis(700);
-    /** Lines of a proxy's log that tell of a fault in the program itself. */
-    private static final Pattern FAULT_IN_PROGRAM = Pattern.compile("(?m)^.* (BUG|VIOLATION) .*$");
+    /** What in a log tells of a fault in the program itself, with the first lines of its trace. */
+    private static final Pattern FAULT_IN_PROGRAM = Pattern.compile(
+            "(?m)^.* (BUG|VIOLATION) .*$(\\R.*){0,8}");
     /** Part of the backends that may be away at a time. */
     private static final double MOST_AWAY = 0.4;
 
--- a/src/main/java/passhatch/proxy/BackendPool.java
+++ b/src/main/java/passhatch/proxy/BackendPool.java
@@ -286,6 +286,8 @@
             if (done.isSuccess()) {
                 c.write(call);
             } else {
+                // Where no socket could be made there is a channel that never closes.
+                open.remove(c);
                 c.broken();
             }
         }));
@@ -351,7 +353,7 @@
             if (!ended) {
                 if (connection != null) {
                     connection.call = null;
-                    connection.channel.close();
+                    Channels.close(connection.channel);
                 }
                 end(Result.without(outcome));
             }
--- a/src/main/java/passhatch/proxy/Discovery.java
+++ b/src/main/java/passhatch/proxy/Discovery.java
@@ -108,7 +108,7 @@
 
     /** Starts a watch unless there is one; one that ends is taken up again. */
     void watch() {
-        if (stopped || current != null && current.channel.isOpen()) {
+        if (stopped || current != null && !current.isOver) {
             return;
         }
         cancelNext();
@@ -131,15 +131,30 @@
                         path);
                 get.headers().set(HttpHeaderNames.HOST, "discovery");
                 done.channel().writeAndFlush(get);
+            } else if (loop.inEventLoop()) {
+                notConnected(watch, done.cause());
             } else {
-                watch.call.endsBy(DiscoveryCalls.End.NOT_CONNECTED);
-                log.line(Kind.DISCOVERY, "discovery: " + done.cause().getMessage());
+                loop.execute(() -> notConnected(watch, done.cause()));
             }
         }).channel();
-        watch.channel.closeFuture().addListener(closed -> {
+        // A connection that does not come up is closed before it is told why.
+        watch.channel.closeFuture().addListener(closed -> loop.execute(() -> over(watch)));
+    }
+
+    /** Where no socket could be made there is a channel that never closes: the call is over here. */
+    private void notConnected(Watch watch, Throwable cause) {
+        watch.call.endsBy(DiscoveryCalls.End.NOT_CONNECTED);
+        log.line(Kind.DISCOVERY, "discovery: " + cause.getMessage());
+        over(watch);
+    }
+
+    /** A call is over, whichever sign of it comes first. */
+    private void over(Watch watch) {
+        if (!watch.isOver) {
+            watch.isOver = true;
             calls.ended(watch.call);
             ended(watch);
-        });
+        }
     }
 
     private static ReadTimeoutHandler silentFor(long ms) {
@@ -164,7 +179,7 @@
             endPrevious();
             previous = current;
         } else if (current != null) {
-            current.channel.close();
+            Channels.close(current.channel);
         }
         current = null;
         if (onRequest) {
@@ -179,13 +194,13 @@
         cancelNext();
         endPrevious();
         if (current != null) {
-            current.channel.close();
+            Channels.close(current.channel);
         }
     }
 
     private void endPrevious() {
         if (previous != null) {
-            previous.channel.close();
+            Channels.close(previous.channel);
             previous = null;
         }
     }
@@ -235,6 +250,7 @@
         private boolean heard;
         private Channel channel;
         private boolean fetched;
+        private boolean isOver;
         private final DiscoveryCalls.Call call;
 
         Watch(boolean fetch, DiscoveryCalls.Call call) {
