Take a server's start to be as late as it may be where its wall time cannot be true

Cause: starts come as wall time and were compared with this process's clock, whose origin is the wall time of its own start. Where the wall clock of this machine is an hour ahead, a server that has just started passed for warm; where it is behind, for cold until it caught up. Class: a span reckoned between two clocks. Change: ServerStarts keeps the start of each server as it was taken. One in the future is now; one that a list tells which lies over 4 s before the list that lacked it is now; the same start told again stays. A step of a few seconds ahead is still not seen where nothing contradicts it.

--- a/src/main/java/passhatch/Logic.java
+++ b/src/main/java/passhatch/Logic.java
@@ -107,6 +107,7 @@
     /** The subsets of the near servers and of the far ones. */
     private final List<Subsetting> subsets;
     private final ServerNames names = new ServerNames();
+    private final ServerStarts starts = new ServerStarts();
     /** Whether a server in use now was put back by hand and not reached since. */
     private boolean returning;
     private final Map<String, Call> calls = new HashMap<>();
@@ -194,6 +195,9 @@
             learn(nowUs, line, touched);
         }
         subset(nowUs, touched);
+        if (kind != ListKind.REMEMBERED) {
+            starts.heard(nowUs);
+        }
         if (!begun) {
             begun = true;
             askAtUs = settings.watch() ? nowUs : Long.MAX_VALUE;
@@ -222,7 +226,7 @@
         if (s == null || line.startedAtUs() != s.startedAtUs || line.zone() != s.zone) {
             s = new Backend(line.id());
             s.startedAtUs = line.startedAtUs();
-            s.coldSinceUs = s.startedAtUs;
+            s.coldSinceUs = starts.startOf(nowUs, line);
             s.out = names.out.contains(s.id);
             s.zone = line.zone();
             s.turnAtUs = farness(s) > 0 ? nowUs + (long) (random.nextDouble() * paceUs(nowUs) * farness(s))
