--- a/lab/src/main/java/passhatch/lab/soak/SoakRun.java
+++ b/lab/src/main/java/passhatch/lab/soak/SoakRun.java
@@ -190,6 +190,23 @@
         proxies.forEach(proxy -> proxy.shim().failSocket(0, FaultShim.Errno.ENFILE));
     }
 
+    /** All that the proxies said, to be shown where a run fails. */
+    String logs() {
+        StringBuilder all = new StringBuilder();
+        for (ProxyInstance proxy : proxies) {
+            try {
+                all.append("-- n").append(proxy.number()).append('\n').append(proxy.logs());
+            } catch (IOException e) {
+                all.append(e);
+            }
+        }
+        return all.toString();
+    }
+
+    ProxyInstance proxy(int number) {
+        return proxies.get(number);
+    }
+
     DiscoveryServer discovery() {
         return discoveries.get(discoveryInUse);
     }
--- a/src/main/java/passhatch/proxy/ClientConnection.java
+++ b/src/main/java/passhatch/proxy/ClientConnection.java
@@ -91,7 +91,7 @@
         @Override
         public void broken() {
             connection.noMore = true;
-            connection.close();
+            connection.channel.close();
         }
 
         /** A body that is on its way must not wait until its client has sent all of it. */
@@ -215,7 +215,12 @@
         }
     }
 
+    /** Closes it; it is a fault of this program where a request on it is owed its answer. */
     void close() {
+        if (channel.isActive()) {
+            turns.stream().filter(turn -> turn.stream == null && turn.owed() != null)
+                    .forEach(turn -> server.proxy().guard().closedUnanswered(turn.id));
+        }
         channel.close();
     }
 
@@ -638,7 +643,7 @@
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         server.say("client connection: " + cause);
         if (turnedDown || lingers) {
-            close();
+            channel.close();
         } else {
             fail();
         }
--- a/src/main/java/passhatch/proxy/ClientServer.java
+++ b/src/main/java/passhatch/proxy/ClientServer.java
@@ -40,6 +40,8 @@
     private static final long BEAT_US = 10_000;
     /** Lateness of a beat that says nothing: timers fire up to a millisecond or two late. */
     private static final long BEAT_SLACK_US = 2_000;
+    /** Beyond what the rules allow for between reading the clock and writing. */
+    private static final long LONG_STANDSTILL_US = 150_000;
 
     private final EventLoop loop;
     private final Clock clock;
@@ -161,6 +163,9 @@
 
     private void beat() {
         heldUpUs = lateUs();
+        if (heldUpUs >= LONG_STANDSTILL_US) {
+            log.line(Kind.STANDSTILL, "the loop stood still for " + heldUpUs / 1_000 + " ms");
+        }
         nextBeatUs = clock.nowUs() + BEAT_US;
         loop.schedule(this::beat, BEAT_US, TimeUnit.MICROSECONDS);
     }
--- a/src/main/java/passhatch/proxy/EventLog.java
+++ b/src/main/java/passhatch/proxy/EventLog.java
@@ -27,7 +27,11 @@
         /** What this proxy knows of the servers hangs on these, and the proxy itself sets their pace. */
         DISCOVERY(MOST_DISCOVERY_LINES),
         MODULE(MOST_LINES),
-        CONSOLE(MOST_LINES);
+        CONSOLE(MOST_LINES),
+        /** A rule was broken: a fault of this program. */
+        VIOLATION(MOST_DISCOVERY_LINES),
+        /** The process did nothing for a while. */
+        STANDSTILL(MOST_LINES);
 
         private final int mostLines;
 
--- a/src/main/java/passhatch/proxy/Figures.java
+++ b/src/main/java/passhatch/proxy/Figures.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Locale;
+import java.util.function.Consumer;
 import passhatch.Balancer.Census;
 import passhatch.Balancer.GiveUpReason;
 
@@ -61,7 +62,7 @@
     }
 
     /** All figures, one a line. */
-    String text(int concurrent, Census servers, DiscoveryCalls discovery) {
+    String text(int concurrent, Census servers, List<Consumer<Lines>> others) {
         StringBuilder text = new StringBuilder();
         Lines lines = (name, value) -> line(text, name, value);
         for (End how : End.values()) {
@@ -77,7 +78,7 @@
         for (GiveUpReason reason : GiveUpReason.values()) {
             lines.add("gave_up." + lowerCase(reason), gaveUp[reason.ordinal()]);
         }
-        discovery.metrics(lines);
+        others.forEach(other -> other.accept(lines));
         return text.toString();
     }
 
--- a/src/main/java/passhatch/proxy/ProxyLoop.java
+++ b/src/main/java/passhatch/proxy/ProxyLoop.java
@@ -29,6 +29,7 @@
 import passhatch.Balancer.LoadReport;
 import passhatch.Balancer.Outcome;
 import passhatch.Balancer.Request;
+import passhatch.Balancer.RequestClass;
 import passhatch.Balancer.ServerStatus;
 import passhatch.proxy.BackendPool.AnswerSink;
 import passhatch.proxy.BackendPool.Handle;
@@ -36,6 +37,7 @@
 import passhatch.proxy.BackendPool.Result;
 import passhatch.proxy.BackendPool.Target;
 import passhatch.proxy.EventLog.Kind;
+import passhatch.proxy.SendGuard.Moment;
 
 /**
  * The only caller of the decision module: tells it what happens and does what it asks. It holds the state of
@@ -77,6 +79,8 @@
         final Target target;
         final long startedAtUs;
         boolean up;
+        /** Since when it is not up any more; the greatest value where it is. */
+        long goneSinceUs = Long.MAX_VALUE;
         boolean listed = true;
         /** Attempts and probes out. */
         int out;
@@ -86,6 +90,20 @@
             this.startedAtUs = startedAtUs;
         }
 
+        void setUp(boolean isUp, long nowUs) {
+            if (isUp) {
+                goneSinceUs = Long.MAX_VALUE;
+            } else if (up) {
+                goneSinceUs = nowUs;
+            }
+            up = isUp;
+        }
+
+        /** For how long it has not been up; negative where it is. */
+        long goneUs(long nowUs) {
+            return goneSinceUs == Long.MAX_VALUE ? -1 : nowUs - goneSinceUs;
+        }
+
         /** Whether it is the process that listens at the address since then. */
         boolean is(Target other, long startedAtOtherUs) {
             return target.equals(other) && startedAtUs == startedAtOtherUs;
@@ -99,6 +117,8 @@
     private final Discovery discovery;
     private final Balancer balancer;
     private final Figures figures;
+    private final SendGuard guard;
+    private final List<RequestClass> classes;
     private final int maxAttempts;
     private final Map<String, Exchange> exchanges = new HashMap<>();
     private final Map<String, Backend> backends = new HashMap<>();
@@ -121,6 +141,8 @@
         this.pool = pool;
         this.maxAttempts = config.settings().limits().maxAttempts();
         this.figures = new Figures(config.classes());
+        this.guard = new SendGuard(log, config.settings().rules().drainGraceUs(), maxAttempts);
+        this.classes = config.settings().classes();
         this.readiness = new Readiness(clock, log, config);
         this.discovery = new Discovery(loop, clock, log, config, this);
         this.balancer = module.create(config.settings(), config.seed(), this);
@@ -136,7 +158,8 @@
 
     /** The figures as of now. */
     String counters() {
-        return figures.text(unanswered - arriving, balancer.census(clock.nowUs()), discovery.calls());
+        return figures.text(unanswered - arriving, balancer.census(clock.nowUs()),
+                List.of(discovery.calls()::metrics, guard::metrics));
     }
 
     /** Whether a list ever named the backend. */
@@ -221,13 +244,13 @@
                 backends.put(target.id(), known);
             }
             known.listed = true;
-            known.up = e.server().status() == ServerStatus.UP;
+            known.setUp(e.server().status() == ServerStatus.UP, clock.nowUs());
         }
         backends.values().removeIf(b -> !b.listed && b.out == 0);
     }
 
     private void leave(Backend backend) {
-        backend.up = false;
+        backend.setUp(false, clock.nowUs());
         backend.listed = false;
         pool.closeIdle(backend.target);
     }
@@ -451,10 +474,10 @@
         long untilUs = now + waitUs;
         // Guards against a connection that comes up late: one to a backend that was told to drain, or that
         // has gone or was taken out, in the meantime is sent nothing, and neither is what is over by then.
-        attempt.handle = sendTo(backend, new Outgoing(() -> message(e.request, untilUs), e.request.body(),
-                () -> !e.answered && e.stream == null && e.responder.isPresent() && backend.up
-                        && e.request.body().canBeSent()
-                        && balancer.maySend(clock.nowUs(), id, attempt.number),
+        attempt.handle = sendTo(backend, new Outgoing(() -> written(e, attempt, backend, untilUs),
+                e.request.body(), () -> guard.mayWrite(new Moment(e.answered || e.stream != null,
+                        e.responder.isPresent(), backend.up, e.request.body().canBeSent(),
+                        balancer.maySend(clock.nowUs(), id, attempt.number))),
                 figures::dispatched, e.arriving ? BackendPool.NO_TIMEOUT : waitUs, Outcome.TIMEOUT),
                 new BackendPool.Listener() {
                     @Override
@@ -469,6 +492,21 @@
                 });
     }
 
+    /** The message of an attempt, which is written at once and held against the rules. */
+    private HttpRequest written(Exchange e, Attempt attempt, Backend backend, long untilUs) {
+        long now = clock.nowUs();
+        boolean othersMayHaveRun = e.attempts.stream().filter(other -> other != attempt)
+                .anyMatch(other -> other.outcome == null || !other.outcome.provesNotRun);
+        guard.written(new SendGuard.Attempt(e.request.id(), attempt.server, backend.goneUs(now),
+                classes.get(e.request.requestClass()).effect(), othersMayHaveRun, attempt.number + 1,
+                untilUs - now, e.deadlineUs + ANSWER_MARGIN_US - now));
+        return message(e.request, untilUs);
+    }
+
+    SendGuard guard() {
+        return guard;
+    }
+
     private boolean mayGet(Backend backend) {
         return backend.up && !balancer.isOut(backend.target.id());
     }
--- a/src/main/java/passhatch/proxy/SharedListener.java
+++ b/src/main/java/passhatch/proxy/SharedListener.java
@@ -1,6 +1,7 @@
 package passhatch.proxy;
 
 import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -11,6 +12,9 @@
  */
 final class SharedListener extends NioServerSocketChannel {
 
+    /** Calls to accept that may fail while the queue is emptied. */
+    private static final int MOST_FAILURES = 1_000;
+
     /** Stops listening, after taking all that has connected here. */
     void emptyAndClose() {
         config().setAutoRead(false);
@@ -29,10 +33,7 @@
         }
         List<Object> taken = new ArrayList<>();
         try {
-            int more = 1;
-            while (more > 0) {
-                more = doReadMessages(taken);
-            }
+            takeAll(taken);
             javaChannel().close();
         } catch (Exception bad) {
             pipeline().fireExceptionCaught(bad);
@@ -41,4 +42,20 @@
         pipeline().fireChannelReadComplete();
         close();
     }
+
+    /** A call to accept that fails tells nothing of the connections that wait: what is left is reset. */
+    private void takeAll(List<Object> taken) throws Exception {
+        int failures = 0;
+        int more = 1;
+        while (more > 0) {
+            try {
+                more = doReadMessages(taken);
+            } catch (IOException failed) {
+                failures++;
+                if (failures >= MOST_FAILURES) {
+                    throw failed;
+                }
+            }
+        }
+    }
 }
--- /dev/null
+++ b/src/test/java/passhatch/proxy/SendGuardTest.java
@@ -0,0 +1,62 @@
+package passhatch.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import passhatch.Balancer.Effect;
+import passhatch.proxy.SendGuard.Attempt;
+import passhatch.proxy.SendGuard.Moment;
+import passhatch.proxy.SendGuard.Violation;
+
+/** What holds an attempt back, and what counts as a broken rule. */
+final class SendGuardTest {
+
+    private static final long GRACE_US = 2_500_000;
+
+    private final ByteArrayOutputStream out = new ByteArrayOutputStream();
+    private final SendGuard guard = new SendGuard(new EventLog(new PrintStream(out, true,
+            StandardCharsets.UTF_8)), GRACE_US, 3);
+
+    private Map<String, Long> metrics() {
+        Map<String, Long> metrics = new HashMap<>();
+        guard.metrics(metrics::put);
+        return metrics;
+    }
+
+    @Test
+    void anAttemptIsHeldBackForOneReasonThatIsCounted() {
+        assertTrue(guard.mayWrite(new Moment(false, true, true, true, true)));
+        assertFalse(guard.mayWrite(new Moment(true, true, true, true, true)));
+        assertFalse(guard.mayWrite(new Moment(false, false, true, true, true)));
+        assertFalse(guard.mayWrite(new Moment(false, true, false, true, true)));
+        assertFalse(guard.mayWrite(new Moment(false, true, true, false, true)));
+        assertFalse(guard.mayWrite(new Moment(false, true, true, true, false)));
+        for (SendGuard.HeldBack why : SendGuard.HeldBack.values()) {
+            assertEquals(1, metrics().get("held_back." + Figures.lowerCase(why)));
+        }
+    }
+
+    @Test
+    void anAttemptWithinTheRulesIsNoViolation() {
+        guard.written(new Attempt("r", "s", GRACE_US, Effect.SAFE, true, 3, 1_150_000, 1_000_000));
+        guard.written(new Attempt("r", "s", -1, Effect.UNSAFE, false, 1, 1, 1));
+        assertEquals("", out.toString(StandardCharsets.UTF_8));
+    }
+
+    @Test
+    void eachBrokenRuleIsCountedAndLogged() {
+        guard.written(new Attempt("r", "s", GRACE_US + 1, Effect.UNSAFE, true, 4, 1_150_001, 1_000_000));
+        guard.closedUnanswered("q");
+        for (Violation rule : Violation.values()) {
+            assertEquals(1, guard.violations(rule), rule.name());
+            assertTrue(out.toString(StandardCharsets.UTF_8).contains("VIOLATION " + rule));
+        }
+    }
+}
