Watch from a known list of version 0 in place of fetching the whole list first

Cause: Discovery took version 0 for no list at all, so each proxy of a fleet made two calls at its start. Change: a list of version 0 that names servers is watched from there.

--- a/src/main/java/passhatch/proxy/Discovery.java
+++ b/src/main/java/passhatch/proxy/Discovery.java
@@ -99,7 +99,8 @@
         this.listener = listener;
         this.onRequest = config.settings().watch();
         this.index = config.known().index();
-        this.whole = index == 0;
+        // A list of version 0 is one to go on from, unless it is none.
+        this.whole = index == 0 && config.known().endpoints().isEmpty();
     }
 
     DiscoveryCalls calls() {
--- a/src/test/java/passhatch/proxy/DiscoveryTest.java
+++ b/src/test/java/passhatch/proxy/DiscoveryTest.java
@@ -233,6 +233,19 @@
         }
     }
 
+    /** Two calls of each proxy of a fleet at its start would be one too many. */
+    @Test
+    void aKnownListOfVersionZeroIsWatchedFromThere() throws Exception {
+        ScriptedServer backend = saying("a");
+        rig.replace("\"index\":7", "\"index\":0")
+                .replace("\"endpoints\":[]", "\"endpoints\":[" + up("s", backend) + "]");
+        rig.lines.add(Rig.list(0, false));
+        rig.startWithoutList(rig.discovery().address());
+        assertTrue(rig.discovery().next().start().contains("watch=1&from=0"));
+        Rig.awaitReady(rig.proxy().address());
+        assertEquals("a", rig.call(Rig.get("r", "")).text());
+    }
+
     /**
      * Each refusal is followed by one call, later each time. Were a timer of the call before left running,
      * both would call, and a fleet would hold discovery in the state in which it refuses.
