End the assignment of every list: extra replicas are drawn in bounded steps

What callers saw: as soon as discovery named a thirteenth backend, the event loops of all three proxies of the tier ran for ever.

Cause: Subsetting.selectMembers counted each extra replica of a server in SubsetAssignment.replicaCounts without an entry in replicasByServer. isAssigned trusted the count and read the unwritten entry, 0, as replica 0. Where replica 0 was the only one left, the random draw was repeated for ever. It takes a server that wants all replicas, so a small tier; all replicas compute the same, so all hang together.

Change: the counts are private and only assign changes them, with the entry. Extra replicas are found by linear probing from a drawn index, in at most as many steps as there are replicas; where no draw was rejected the result is the same as before. The rounds and the search for a free server have explicit bounds.

Why it works: each loop now has a bound that depends on sizes alone, not on ids.

--- a/src/main/java/passhatch/HashRing.java
+++ b/src/main/java/passhatch/HashRing.java
@@ -41,6 +41,11 @@
         return points.length / POINTS_PER_SERVER;
     }
 
+    /** The number of points of all servers. */
+    int pointCount() {
+        return points.length;
+    }
+
     /** The number of slots, free ones included; each server's slot is below it. */
     int slotCount() {
         return slotCount;
--- a/src/main/java/passhatch/SubsetAssignment.java
+++ b/src/main/java/passhatch/SubsetAssignment.java
@@ -2,7 +2,8 @@
 
 /**
  * The assignment of servers to the subsets of replicas. Servers are given by their slots on the
- * {@link HashRing}, replicas by their indices.
+ * {@link HashRing}, replicas by their indices. {@link #assign} alone changes it, so that the counts always
+ * agree with the pairs.
  */
 final class SubsetAssignment {
 
@@ -16,9 +17,10 @@
      */
     private final int[] replicasByServer;
     /** The number of servers of each replica. */
-    final int[] subsetSizes;
+    private final int[] subsetSizes;
     /** The number of replicas of each server. */
-    final int[] replicaCounts;
+    private final int[] replicaCounts;
+    private long lookups;
 
     /**
      * Creates an assignment without any pair yet.
@@ -43,12 +45,30 @@
         return serversByReplica[replica * subsetSize + index];
     }
 
+    /** The number of servers of a replica. */
+    int subsetSize(int replica) {
+        return subsetSizes[replica];
+    }
+
+    /** The number of replicas of a server. */
+    int replicaCount(int server) {
+        return replicaCounts[server];
+    }
+
+    /** How often {@link #isAssigned} was called. */
+    long lookups() {
+        return lookups;
+    }
+
+    /** Whether the server is in the subset of the replica. */
     boolean isAssigned(int replica, int server) {
+        lookups++;
         return maxReplicasPerServer < subsetSize && replicaCounts[server] <= maxReplicasPerServer
                 ? contains(replicasByServer, server * maxReplicasPerServer, replicaCounts[server], replica)
                 : contains(serversByReplica, replica * subsetSize, subsetSizes[replica], server);
     }
 
+    /** Adds a server, which must not be assigned to the replica yet, to the replica's subset. */
     void assign(int replica, int server) {
         if (maxReplicasPerServer < subsetSize && replicaCounts[server] < maxReplicasPerServer) {
             replicasByServer[server * maxReplicasPerServer + replicaCounts[server]] = replica;
--- a/src/main/java/passhatch/Subsetting.java
+++ b/src/main/java/passhatch/Subsetting.java
@@ -44,6 +44,7 @@
     private List<ServerState> members = List.of();
     /** The result of {@link #allServers()}; empty until it is needed. */
     private List<ServerState> allServers = List.of();
+    private long assignmentLookups;
 
     /**
      * Creates a subset of no servers.
@@ -76,6 +77,7 @@
         ring.update(removed, added);
         allServers = List.of();
         members = List.of();
+        assignmentLookups = 0;
         if (subsetSize < ring.size()) {
             assign(subsetSize);
         } else {
@@ -83,6 +85,11 @@
         }
     }
 
+    /** The number of pairs of a replica and a server that the last {@link #update} looked up. */
+    long assignmentLookups() {
+        return assignmentLookups;
+    }
+
     private void assign(int subsetSize) {
         double meanReplicas = (double) replicas * subsetSize / ring.size();
         int maxReplicas = Math.max((int) Math.ceil(meanReplicas), (int) (MAX_REPLICAS_FACTOR * meanReplicas));
@@ -93,57 +100,99 @@
         for (int replica = 0; replica < replicas; replica++) {
             incomplete[replica] = replica;
         }
-        for (int round = 0, incompleteCount = replicas; incompleteCount > 0; round++) {
+        // In each round after the bounded ones, every replica that is incomplete gets a server.
+        int maxRounds = boundedRounds + subsetSize;
+        int incompleteCount = replicas;
+        for (int round = 0; round < maxRounds && incompleteCount > 0; round++) {
             int stillIncomplete = 0;
             for (int i = 0; i < incompleteCount; i++) {
                 int replica = incomplete[i];
                 int pointIndex = ring.firstPointAfter(replica, round);
-                while (round >= boundedRounds && assignment.isAssigned(replica, ring.slotAt(pointIndex))) {
-                    pointIndex++;
-                }
-                int slot = ring.slotAt(pointIndex);
-                if (round >= boundedRounds
-                        || assignment.replicaCounts[slot] < maxReplicas
-                                && !assignment.isAssigned(replica, slot)) {
-                    assignment.assign(replica, slot);
+                if (round < boundedRounds) {
+                    assignBelowMaximum(assignment, replica, ring.slotAt(pointIndex), maxReplicas);
+                } else {
+                    assignment.assign(replica, nextUnassigned(assignment, replica, pointIndex));
                 }
-                if (assignment.subsetSizes[replica] < subsetSize) {
+                if (assignment.subsetSize(replica) < subsetSize) {
                     incomplete[stillIncomplete++] = replica;
                 }
             }
             incompleteCount = stillIncomplete;
         }
         selectMembers(assignment, meanReplicas * MIN_REPLICAS_FACTOR);
+        assignmentLookups = assignment.lookups();
+    }
+
+    private static void assignBelowMaximum(SubsetAssignment assignment, int replica, int slot,
+            int maxReplicas) {
+        if (assignment.replicaCount(slot) < maxReplicas && !assignment.isAssigned(replica, slot)) {
+            assignment.assign(replica, slot);
+        }
+    }
+
+    /** The first server, from a point on, that a replica with an incomplete subset does not have yet. */
+    private int nextUnassigned(SubsetAssignment assignment, int replica, int firstPointIndex) {
+        for (int i = 0; i < ring.pointCount(); i++) {
+            int slot = ring.slotAt(firstPointIndex + i);
+            if (!assignment.isAssigned(replica, slot)) {
+                return slot;
+            }
+        }
+        throw new IllegalStateException("replica " + replica + " has all " + ring.size()
+                + " servers in an incomplete subset");
     }
 
     /**
-     * Adds extra replicas to the servers that have too few, and sets this replica's members.
+     * Sets this replica's members: those assigned in the rounds, and the servers with too few replicas of
+     * which it is an extra replica.
      *
      * @param minReplicas the number of replicas below which a server gets extra ones
      */
     private void selectMembers(SubsetAssignment assignment, double minReplicas) {
         List<ServerState> ownServers = new ArrayList<>();
-        for (int i = 0; i < assignment.subsetSizes[replicaIndex]; i++) {
+        for (int i = 0; i < assignment.subsetSize(replicaIndex); i++) {
             ownServers.add(ring.server(assignment.server(replicaIndex, i)));
         }
         for (int slot = 0; slot < ring.slotCount(); slot++) {
             ServerState server = ring.server(slot);
-            // The fraction, different for each server, makes servers cross the minimum one by one: otherwise
-            // a small change of the mean could add replicas to all servers at once.
-            int wantedReplicas = server == null ? 0
-                    : (int) Math.max(1, minReplicas + HashRing.uniformFraction(server.hash));
-            Set<Integer> extraReplicas = assignment.replicaCounts[slot] < wantedReplicas
-                    ? new HashSet<>() : Set.of();
-            for (int drawIndex = 0; assignment.replicaCounts[slot] < wantedReplicas; drawIndex++) {
-                int extraReplica = HashRing.draw(server, drawIndex, replicas);
-                if (!assignment.isAssigned(extraReplica, slot) && extraReplicas.add(extraReplica)) {
-                    assignment.replicaCounts[slot]++;
-                    if (extraReplica == replicaIndex) {
-                        ownServers.add(server);
-                    }
+            if (server != null) {
+                int missing = wantedReplicas(server, minReplicas) - assignment.replicaCount(slot);
+                if (missing > 0 && drawExtraReplicas(assignment, slot, missing).contains(replicaIndex)) {
+                    ownServers.add(server);
                 }
             }
         }
         members = List.copyOf(ownServers);
     }
+
+    /**
+     * The number of replicas that a server must have at least. The fraction, different for each server, makes
+     * servers cross the minimum one by one: otherwise a small change of the mean could add replicas to all
+     * servers at once.
+     */
+    private int wantedReplicas(ServerState server, double minReplicas) {
+        int wanted = (int) Math.max(1, minReplicas + HashRing.uniformFraction(server.hash));
+        return Math.min(wanted, replicas);
+    }
+
+    /**
+     * Chooses extra replicas of a server by linear probing: each is the first one, from an index that the
+     * server draws, that does not use the server yet. This takes at most as many steps for each extra replica
+     * as there are replicas, whatever the ids of the servers are.
+     *
+     * @param count the number of extra replicas; at most as many as do not use the server
+     */
+    private Set<Integer> drawExtraReplicas(SubsetAssignment assignment, int slot, int count) {
+        Set<Integer> extraReplicas = new HashSet<>();
+        for (int drawIndex = 0; drawIndex < count; drawIndex++) {
+            int drawn = HashRing.draw(ring.server(slot), drawIndex, replicas);
+            for (int offset = 0; offset < replicas; offset++) {
+                int candidate = (drawn + offset) % replicas;
+                if (!assignment.isAssigned(candidate, slot) && extraReplicas.add(candidate)) {
+                    break;
+                }
+            }
+        }
+        return extraReplicas;
+    }
 }
