Rename BodyBudget to MemoryBudget, as it will bound more than request bodies

Cause: the bytes held of responses and of streamed bodies are to get a bound as well, and the budget's name told of bodies alone.

Change: the class is renamed; nothing else changes.

--- a/src/main/java/passhatch/proxy/ClientServer.java
+++ b/src/main/java/passhatch/proxy/ClientServer.java
@@ -53,7 +53,7 @@
     private final RequestParser parser;
     private final ProxyLoop proxy;
     private int maxConnections;
-    private final BodyBudget budget;
+    private final MemoryBudget budget;
     private final DrainState drainState;
     /** Open connections in the order of connecting. */
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
@@ -70,7 +70,7 @@
      * @param budget limits the memory for buffered client input
      */
     ClientServer(EventLoop loop, Clock clock, EventLog log, RequestParser parser, ProxyLoop proxy,
-            int maxConnections, BodyBudget budget, DrainState drainState) {
+            int maxConnections, MemoryBudget budget, DrainState drainState) {
         this.loop = loop;
         this.clock = clock;
         this.log = log;
@@ -279,7 +279,7 @@
     // ---- called by connections
 
     /** The memory budget for buffered client input. */
-    BodyBudget budget() {
+    MemoryBudget budget() {
         return budget;
     }
 
--- a/src/main/java/passhatch/proxy/BodyBudget.java
+++ b/src/main/java/passhatch/proxy/MemoryBudget.java
@@ -5,13 +5,13 @@
  * have several requests of the maximum size open, and together these would not fit into the heap. Not
  * thread-safe: used by the event loop only.
  */
-final class BodyBudget {
+final class MemoryBudget {
 
     private final int maxBytes;
     private int reservedBytes;
 
     /** Creates a budget of which nothing is reserved. */
-    BodyBudget(int maxBytes) {
+    MemoryBudget(int maxBytes) {
         this.maxBytes = maxBytes;
     }
 
--- a/src/main/java/passhatch/proxy/ProxyServer.java
+++ b/src/main/java/passhatch/proxy/ProxyServer.java
@@ -215,7 +215,7 @@
         drainState = new DrainState(loop);
         console = new Console(loop, log, new ConsoleRoutes(new ConsoleOperations()));
         clientServer = new ClientServer(loop, clock, log, new RequestParser(config), proxy, clientDescriptors,
-                new BodyBudget((int) Math.min(1L << 30,
+                new MemoryBudget((int) Math.min(1L << 30,
                         Runtime.getRuntime().maxMemory() / BODY_BUDGET_HEAP_DIVISOR)),
                 drainState);
         if (config.console() != null) {
--- a/src/main/java/passhatch/proxy/ReadAheadBuffer.java
+++ b/src/main/java/passhatch/proxy/ReadAheadBuffer.java
@@ -31,14 +31,14 @@
         }
     }
 
-    private final BodyBudget budget;
+    private final MemoryBudget budget;
     /** In the order of arrival. */
     private final ArrayDeque<ReceivedPart> parts = new ArrayDeque<>();
     private int bufferedBytes;
     private int reservedBytes;
 
     /** Creates an empty buffer that reserves its memory from a budget shared by all connections. */
-    ReadAheadBuffer(BodyBudget budget) {
+    ReadAheadBuffer(MemoryBudget budget) {
         this.budget = budget;
     }
 
--- a/src/main/java/passhatch/proxy/RequestBody.java
+++ b/src/main/java/passhatch/proxy/RequestBody.java
@@ -38,7 +38,7 @@
         void bodyDiscarded();
     }
 
-    private final BodyBudget budget;
+    private final MemoryBudget budget;
     private final long declaredLength;
     private Source source;
     private byte[] buffer = {};
@@ -63,7 +63,7 @@
      *
      * @param declaredLength length in bytes according to the request's head, or -1 if it is not known
      */
-    RequestBody(BodyBudget budget, long declaredLength) {
+    RequestBody(MemoryBudget budget, long declaredLength) {
         this.budget = budget;
         this.declaredLength = declaredLength;
     }
--- a/src/main/java/passhatch/proxy/RequestReader.java
+++ b/src/main/java/passhatch/proxy/RequestReader.java
@@ -19,13 +19,13 @@
     /** Maximum size of a body; a request with a larger one is rejected with status 413. */
     static final long MAX_BODY_BYTES = 32L << 20;
 
-    private final BodyBudget budget;
+    private final MemoryBudget budget;
     /** The request that is being received; null if there is none. */
     private IncomingRequest current;
     private long receivedBodyBytes;
 
     /** Creates a reader whose request bodies reserve their memory from the given budget. */
-    RequestReader(BodyBudget budget) {
+    RequestReader(MemoryBudget budget) {
         this.budget = budget;
     }
 
--- a/src/test/java/passhatch/proxy/BadClientsTest.java
+++ b/src/test/java/passhatch/proxy/BadClientsTest.java
@@ -218,7 +218,7 @@
 
     @Test
     void bodiesBeyondTheMemoryBudgetAreRefused() {
-        BodyBudget budget = new BodyBudget(100);
+        MemoryBudget budget = new MemoryBudget(100);
         assertTrue(budget.reserve(60));
         assertFalse(budget.reserve(60));
         budget.release(60);
