Bound what a proxy holds of responses and streamed bodies, and end with the event loop

Cause: ResponseReader buffered in an array that doubles up to 128 KiB and kept it, unused, while the response was streamed; 213 of them fill the heap of 32 MB. Nothing bounded what is held of responses over all connections. The OutOfMemoryError then ended the thread of the event loop, which nothing noticed. Evidence: the log of the case (OutOfMemoryError on connections, then in thread proxy-1-1).

Change: the array is given up when streaming begins. One budget over all connections (ProxyMemory, a fifth of the heap) counts buffered responses and all that a connection was given until the network has taken it, in both directions; from half of it on a transfer is read only when nothing of it is held, 4 KiB at a time, responses beyond it are streamed at once, and with all of it used new requests get 503. The chunks of one read are joined; bodies of error responses and heads of open requests are not kept. Metrics memory.* show it all.

Why it works: at most the budget, one read and 4 KiB a connection are held, however many transfers there are and however the bytes arrive, and every transfer goes on, as one that holds nothing may always be read.

--- a/lab/src/main/java/passhatch/proxy/WatchingProxy.java
+++ b/lab/src/main/java/passhatch/proxy/WatchingProxy.java
@@ -51,11 +51,13 @@
                 null);
         Clock clock = new Clock();
         EventLog eventLog = new EventLog(log);
+        ProxyMemory memory = ProxyMemory.ofHeap(Runtime.getRuntime().maxMemory());
         BackendPool pool = new BackendPool(loop, clock, eventLog, CONNECT_TIMEOUT_US,
-                settings.limits().keepaliveUs(), MAX_BACKEND_CONNECTIONS);
+                settings.limits().keepaliveUs(), MAX_BACKEND_CONNECTIONS, memory.transfer());
         proxy = new ProxyLoop(loop, clock, eventLog, config, pool,
                 (moduleSettings, moduleSeed, actions) ->
-                new ObservedBalancer(new LeastLoadedBalancer(moduleSettings, moduleSeed, actions), observer));
+                new ObservedBalancer(new LeastLoadedBalancer(moduleSettings, moduleSeed, actions), observer),
+                memory);
     }
 
     /** Closes the watch for good. Must be called in the event loop of the proxy. */
--- a/src/main/java/passhatch/proxy/BackendPool.java
+++ b/src/main/java/passhatch/proxy/BackendPool.java
@@ -2,7 +2,6 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -18,7 +17,6 @@
 import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
@@ -27,9 +25,9 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
-import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -195,6 +193,7 @@
     private final Clock clock;
     private final EventLog log;
     private final long maxIdleUs;
+    private final MemoryBudget transferBudget;
     private int maxOpen;
     private final Bootstrap bootstrap;
     private final Map<Target, Deque<Connection>> idleConnections = new HashMap<>();
@@ -207,19 +206,22 @@
      * @param keepaliveUs time in microseconds after which backends close idle connections; 0 if no connection
      *     may be kept
      * @param maxOpen most connections open at a time, so that file descriptors are left for the clients
+     * @param transferBudget limits the bytes of responses, and of bodies on their way to backends, over all
+     *     connections
      */
     BackendPool(EventLoop loop, Clock clock, EventLog log, long connectTimeoutUs, long keepaliveUs,
-            int maxOpen) {
+            int maxOpen, MemoryBudget transferBudget) {
         this.loop = loop;
         this.clock = clock;
         this.log = log;
         this.maxIdleUs = (long) (keepaliveUs * IDLE_TIMEOUT_FRACTION);
         this.maxOpen = maxOpen;
+        this.transferBudget = transferBudget;
         this.bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.WRITE_BUFFER_WATER_MARK, WRITE_WATER_MARK)
-                .option(ChannelOption.RECVBUF_ALLOCATOR,
-                        new AdaptiveRecvByteBufAllocator(64, 2048, MAX_READ_BYTES))
+                .option(ChannelOption.RECVBUF_ALLOCATOR, new BudgetedReceiveAllocator(
+                        new AdaptiveRecvByteBufAllocator(64, 2048, MAX_READ_BYTES), transferBudget))
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS,
                         (int) Math.max(1, TimeUnit.MICROSECONDS.toMillis(connectTimeoutUs)));
     }
@@ -424,16 +426,25 @@
     private final class Upload implements RequestBody.Receiver {
         private final PendingRequest pending;
         private final Channel channel;
+        private final BudgetedWriter writer;
 
         Upload(PendingRequest pending, Channel channel) {
             this.pending = pending;
             this.channel = channel;
+            this.writer = new BudgetedWriter(channel, transferBudget, this::onAllWritten);
         }
 
         @Override
         public void write(ByteBuf bytes) {
             pending.connection.lastProgressUs = clock.nowUs();
-            channel.writeAndFlush(new DefaultHttpContent(bytes));
+            writer.writeAndFlush(bytes);
+        }
+
+        private void onAllWritten() {
+            if (!pending.ended && !pending.fullyWritten) {
+                pending.connection.lastProgressUs = clock.nowUs();
+                pending.request.body().resume();
+            }
         }
 
         @Override
@@ -444,7 +455,7 @@
 
         @Override
         public boolean isWritable() {
-            return channel.isWritable();
+            return writer.isWritable();
         }
     }
 
@@ -452,7 +463,9 @@
     private final class Connection extends SimpleChannelInboundHandler<HttpObject> {
         private final Target target;
         private final ResponseDecoder decoder = new ResponseDecoder();
-        private ResponseReader reader = new ResponseReader();
+        private ResponseReader reader = new ResponseReader(transferBudget);
+        /** Parts of the streamed response from the bytes that are being decoded. */
+        private final List<ByteBuf> decodedParts = new ArrayList<>();
         /**
          * Result of a complete response, until the event loop has processed the bytes received together with
          * it; null otherwise.
@@ -592,7 +605,7 @@
         }
 
         @Override
-        protected void channelRead0(ChannelHandlerContext ctx, HttpObject part) throws IOException {
+        protected void channelRead0(ChannelHandlerContext ctx, HttpObject part) {
             if (pendingResult != null) {
                 hasSurplusBytes = true;
                 return;
@@ -630,15 +643,15 @@
                 return;
             }
             pending.sink = sink;
-            byte[] buffered = reader.takeBufferedBody();
-            streamedBytes = buffered.length;
+            ByteBuf buffered = reader.takeBufferedBody();
+            streamedBytes = buffered.readableBytes();
             streamingSinceUs = clock.nowUs();
             // Only a response known to be long is freed from the deadline: one of unknown length may turn
             // out short, and short responses are due by the deadline.
             if (pending.timeoutTask != null && reader.contentLength() > ResponseReader.MAX_BUFFERED_BYTES) {
                 pending.timeoutTask.cancel(false);
             }
-            writeToSink(Unpooled.wrappedBuffer(buffered));
+            writeToSink(buffered);
         }
 
         /**
@@ -670,11 +683,38 @@
                     abort();
                     return;
                 }
-                writeToSink(content.content().retain());
+                decodedParts.add(content.content().retain());
+            }
+            if (part instanceof LastHttpContent) {
+                writeDecodedParts();
+                if (pending != null) {
+                    pending.sink.end();
+                    pendingResult = Result.withoutBody(Outcome.OK);
+                }
+            }
+        }
+
+        /**
+         * Gives the parts that were decoded from one read to the sink as one buffer of their size. A backend
+         * may send many small chunks, which would take far more memory than their bytes, and a part keeps all
+         * of the read's buffer.
+         */
+        private void writeDecodedParts() {
+            if (decodedParts.isEmpty()) {
+                return;
+            }
+            boolean wanted = pending != null && pending.sink != null;
+            int bytes = decodedParts.stream().mapToInt(ByteBuf::readableBytes).sum();
+            ByteBuf joined = wanted ? channel.alloc().ioBuffer(bytes, bytes) : null;
+            for (ByteBuf part : decodedParts) {
+                if (wanted) {
+                    joined.writeBytes(part);
+                }
+                part.release();
             }
-            if (part instanceof LastHttpContent && pending != null) {
-                pending.sink.end();
-                pendingResult = Result.withoutBody(Outcome.OK);
+            decodedParts.clear();
+            if (wanted) {
+                writeToSink(joined);
             }
         }
 
@@ -711,7 +751,8 @@
             }
             boolean reusable = !hasSurplusBytes && !decoder.hasUndecodedBytes() && finished.fullyWritten
                     && reader.isKeepAlive();
-            reader = new ResponseReader();
+            reader.releaseBuffer();
+            reader = new ResponseReader(transferBudget);
             if (reusable && channel.isActive()) {
                 channel.config().setAutoRead(true);
                 returnToPool();
@@ -733,6 +774,8 @@
 
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
+            writeDecodedParts();
+            reader.releaseBuffer();
             Deque<Connection> idleToTarget = idleConnections.get(target);
             if (idleToTarget != null) {
                 idleToTarget.remove(this);
@@ -756,6 +799,7 @@
             public void channelRead(ChannelHandlerContext ctx, Object bytes) {
                 if (pendingResult == null && pending != null && pending.writeStarted) {
                     ctx.fireChannelRead(bytes);
+                    writeDecodedParts();
                     return;
                 }
                 ReferenceCountUtil.release(bytes);
--- a/src/main/java/passhatch/proxy/ClientConnection.java
+++ b/src/main/java/passhatch/proxy/ClientConnection.java
@@ -56,7 +56,7 @@
     private static final class PipelinedRequest implements ProxyLoop.Responder, RequestBody.Source,
             ResponseStream.Owner {
         private final ClientConnection connection;
-        private final HttpRequest head;
+        private final HttpVersion version;
         private final RequestBody body;
         private final boolean keepAlive;
         /** The request's id; null if the proxy does not process the request, as for {@code /ready}. */
@@ -66,9 +66,10 @@
         /** The response, if it is forwarded while it is received from the backend; null otherwise. */
         private ResponseStream responseStream;
 
-        PipelinedRequest(ClientConnection connection, HttpRequest head, RequestBody body, boolean keepAlive) {
+        PipelinedRequest(ClientConnection connection, HttpVersion version, RequestBody body,
+                boolean keepAlive) {
             this.connection = connection;
-            this.head = head;
+            this.version = version;
             this.body = body;
             this.keepAlive = keepAlive;
         }
@@ -76,13 +77,14 @@
         @Override
         public void respond(ProxyResponse finalResponse) {
             response = finalResponse;
+            connection.transferBudget().hold(finalResponse.body().length);
             connection.writeResponses();
         }
 
         @Override
         public BackendPool.ResponseSink startStream(long length, Runnable readOn) {
-            responseStream = new ResponseStream(connection.channel, head.protocolVersion(), length, readOn,
-                    this);
+            responseStream = new ResponseStream(connection.channel, version, length, readOn, this,
+                    connection.transferBudget());
             connection.writeResponses();
             return responseStream;
         }
@@ -139,6 +141,13 @@
                 responseStream.release();
             }
         }
+
+        /** Gives up the response if it was not written. */
+        private void dropResponse() {
+            if (response != null) {
+                connection.transferBudget().release(response.body().length);
+            }
+        }
     }
 
     private final ClientServer server;
@@ -177,11 +186,15 @@
     ClientConnection(ClientServer server, Channel channel, long nowUs) {
         this.server = server;
         this.channel = channel;
-        this.reader = new RequestReader(server.budget());
-        this.readAhead = new ReadAheadBuffer(server.budget());
+        this.reader = new RequestReader(server.memory().input());
+        this.readAhead = new ReadAheadBuffer(server.memory().input());
         this.connectedAtUs = nowUs;
     }
 
+    private MemoryBudget transferBudget() {
+        return server.memory().transfer();
+    }
+
     /** The handlers of the channel's pipeline, from the socket up to and including this one. */
     ChannelHandler[] handlers() {
         return new ChannelHandler[] {new WriteTimeoutHandler(WRITE_TIMEOUT_S), decoder,
@@ -475,8 +488,8 @@
      */
     private void acceptRequest(RequestReader.IncomingRequest incoming, long waitedUs) {
         boolean complete = incoming.body().isComplete();
-        PipelinedRequest request = new PipelinedRequest(this, incoming.head(), incoming.body(),
-                HttpUtil.isKeepAlive(incoming.head()));
+        PipelinedRequest request = new PipelinedRequest(this, incoming.head().protocolVersion(),
+                incoming.body(), HttpUtil.isKeepAlive(incoming.head()));
         requests.add(request);
         incoming.body().setSource(request);
         incompleteRequest = complete ? null : request;
@@ -504,6 +517,11 @@
             return;
         }
         ProxyRequest proxyRequest = server.parse(incoming, waitedUs);
+        if (transferBudget().isExhausted()) {
+            server.proxy().refuseForMemory(proxyRequest);
+            throw new RequestParser.InvalidRequestException(HttpResponseStatus.SERVICE_UNAVAILABLE,
+                    "the memory for responses and streamed bodies is exhausted");
+        }
         request.activeId = proxyRequest.id();
         if (!server.proxy().accept(proxyRequest, request)) {
             // The id belongs to another request, which must not be affected by events of this connection.
@@ -564,7 +582,9 @@
             PipelinedRequest request = requests.peek();
             if (request.response != null) {
                 requests.poll();
-                writeResponse(request.response, keepsAlive(request));
+                int responseBytes = request.response.body().length;
+                writeResponse(request.response, keepsAlive(request))
+                        .addListener(written -> transferBudget().release(responseBytes));
                 request.releaseBuffers();
             } else if (request.responseStream != null) {
                 request.responseStream.start(keepsAlive(request));
@@ -600,7 +620,7 @@
     }
 
     /** Writes a complete response, and closes the connection after it if it is not kept alive. */
-    private void writeResponse(ProxyResponse response, boolean keepAlive) {
+    private ChannelFuture writeResponse(ProxyResponse response, boolean keepAlive) {
         DefaultFullHttpResponse httpResponse = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
                 response.status(), Unpooled.wrappedBuffer(response.body()));
         httpResponse.headers().set(HttpHeaderNames.CONTENT_LENGTH, response.body().length);
@@ -615,6 +635,7 @@
         if (!keepAlive) {
             closeAfter(written);
         }
+        return written;
     }
 
     /** Closes the connection when the last response has been delivered; further input is discarded. */
@@ -648,6 +669,7 @@
         for (PipelinedRequest request : abandoned) {
             String unansweredId = request.unansweredId();
             request.releaseBuffers();
+            request.dropResponse();
             if (unansweredId != null) {
                 server.proxy().clientGone(unansweredId);
             }
--- a/src/main/java/passhatch/proxy/ClientServer.java
+++ b/src/main/java/passhatch/proxy/ClientServer.java
@@ -53,7 +53,7 @@
     private final RequestParser parser;
     private final ProxyLoop proxy;
     private int maxConnections;
-    private final MemoryBudget budget;
+    private final ProxyMemory memory;
     private final DrainState drainState;
     /** Open connections in the order of connecting. */
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
@@ -67,17 +67,17 @@
      * Creates a server that does not listen yet.
      *
      * @param maxConnections maximum number of open connections; beyond it an idle one is closed for a new one
-     * @param budget limits the memory for buffered client input
+     * @param memory limits the memory for client input and for responses
      */
     ClientServer(EventLoop loop, Clock clock, EventLog log, RequestParser parser, ProxyLoop proxy,
-            int maxConnections, MemoryBudget budget, DrainState drainState) {
+            int maxConnections, ProxyMemory memory, DrainState drainState) {
         this.loop = loop;
         this.clock = clock;
         this.log = log;
         this.parser = parser;
         this.proxy = proxy;
         this.maxConnections = maxConnections;
-        this.budget = budget;
+        this.memory = memory;
         this.drainState = drainState;
         this.nextLoopCheckUs = clock.nowUs();
         checkLoopDelay();
@@ -114,9 +114,11 @@
     }
 
     /** Reads until no bytes are left: a request may be followed by the client's close. */
-    private static RecvByteBufAllocator readUntilEmpty() {
-        return new AdaptiveRecvByteBufAllocator(64, 2048, BackendPool.MAX_READ_BYTES)
-                .respectMaybeMoreData(false).maxMessagesPerRead(MAX_READS_PER_LOOP);
+    private RecvByteBufAllocator readUntilEmpty() {
+        return new BudgetedReceiveAllocator(
+                new AdaptiveRecvByteBufAllocator(64, 2048, BackendPool.MAX_READ_BYTES)
+                        .respectMaybeMoreData(false).maxMessagesPerRead(MAX_READS_PER_LOOP),
+                memory.input());
     }
 
     /** Whether the server is listening, so that clients can connect. */
@@ -278,9 +280,9 @@
 
     // ---- called by connections
 
-    /** The memory budget for buffered client input. */
-    MemoryBudget budget() {
-        return budget;
+    /** The memory budgets of the proxy. */
+    ProxyMemory memory() {
+        return memory;
     }
 
     ProxyLoop proxy() {
--- a/src/main/java/passhatch/proxy/Metrics.java
+++ b/src/main/java/passhatch/proxy/Metrics.java
@@ -39,6 +39,7 @@
     private final long[][] endedRequests;
     private long dispatches;
     private long retries;
+    private long refusedForMemory;
     private final long[] gaveUpRequests = new long[GiveUpReason.values().length];
 
     Metrics(List<String> classes) {
@@ -61,6 +62,11 @@
         retries++;
     }
 
+    /** Counts a request that was refused because too many bytes are held for others. */
+    void requestRefusedForMemory() {
+        refusedForMemory++;
+    }
+
     /** Counts a request that ended without a response of a server. */
     void requestGivenUp(GiveUpReason reason) {
         gaveUpRequests[reason.ordinal()]++;
@@ -90,6 +96,7 @@
         for (GiveUpReason reason : GiveUpReason.values()) {
             sink.add("gave_up." + lowerCase(reason), gaveUpRequests[reason.ordinal()]);
         }
+        sink.add("memory.requests_refused", refusedForMemory);
         sources.forEach(source -> source.accept(sink));
         return text.toString();
     }
--- a/src/main/java/passhatch/proxy/ProxyLoop.java
+++ b/src/main/java/passhatch/proxy/ProxyLoop.java
@@ -125,6 +125,7 @@
     private final Discovery discovery;
     private final Balancer balancer;
     private final Metrics metrics;
+    private final ProxyMemory memory;
     private final SendGuard guard;
     private final List<RequestClass> classes;
     private final int maxAttempts;
@@ -148,11 +149,12 @@
     private record ModuleEvent(Exchange exchange, Runnable delivery) { }
 
     ProxyLoop(EventLoop loop, Clock clock, EventLog log, ProxyConfig config, BackendPool pool,
-            ProxyServer.ModuleFactory module) {
+            ProxyServer.ModuleFactory module, ProxyMemory memory) {
         this.loop = loop;
         this.clock = clock;
         this.log = log;
         this.pool = pool;
+        this.memory = memory;
         this.maxAttempts = config.settings().limits().maxAttempts();
         this.metrics = new Metrics(config.classes());
         this.guard = new SendGuard(log, config.settings().rules().drainGraceUs(), maxAttempts);
@@ -173,7 +175,7 @@
     /** The current metrics as text, one per line. */
     String counters() {
         return metrics.text(pendingRequests - incompleteRequests, balancer.serverCounts(clock.nowUs()),
-                List.of(discovery.calls()::addMetrics, guard::metrics));
+                List.of(discovery.calls()::addMetrics, guard::metrics, memory::addMetrics));
     }
 
     /** Whether any list from discovery has ever named the backend, or an operator has disabled it. */
@@ -321,6 +323,12 @@
         return true;
     }
 
+    /** Counts a request that is refused before it is accepted, because too many bytes are held. */
+    void refuseForMemory(ProxyRequest request) {
+        metrics.requestEnded(request.requestClass(), Metrics.RequestResult.OVERLOAD);
+        metrics.requestRefusedForMemory();
+    }
+
     private void startFallbackTimer(Exchange exchange) {
         exchange.fallbackTimer = loop.schedule(() -> respondInPlaceOfModule(exchange),
                 Math.max(0, exchange.deadlineUs - clock.nowUs()) + FALLBACK_DELAY_US,
--- a/src/main/java/passhatch/proxy/ProxyServer.java
+++ b/src/main/java/passhatch/proxy/ProxyServer.java
@@ -4,7 +4,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import io.netty.util.concurrent.DefaultThreadFactory;
 import java.io.IOException;
 import java.io.PrintStream;
 import java.net.InetSocketAddress;
@@ -43,8 +42,10 @@
      * connections open than requests.
      */
     private static final double CLIENT_DESCRIPTOR_FRACTION = 0.55;
-    /** Request bodies may occupy the maximum heap size divided by this. */
-    private static final int BODY_BUDGET_HEAP_DIVISOR = 6;
+    /** Exit status of a process whose event loop has failed; 70 means an internal error (sysexits.h). */
+    static final int LOOP_FAILURE_STATUS = 70;
+    private static final String LOOP_FAILURE_MESSAGE =
+            "passhatch: the event loop has ended because of an error; the process ends";
 
     /** Creates the decision module. */
     interface ModuleFactory {
@@ -76,13 +77,15 @@
     private boolean drainCheckScheduled;
     /** Exit status of the process. */
     private volatile int exitStatus;
+    /** Whether the event loop has been asked to end. */
+    private volatile boolean terminating;
     private volatile InetSocketAddress address;
     private InetSocketAddress consoleAddress;
 
-    private ProxyServer(ProxyConfig config, EventLog log) {
+    private ProxyServer(ProxyConfig config, EventLog log, Runnable onLoopFailure) {
         this.log = log;
-        this.group = new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory("proxy"),
-                NioIoHandler.newFactory());
+        this.group = new MultiThreadIoEventLoopGroup(1,
+                new EventLoopThreadFactory(() -> !terminating, onLoopFailure), NioIoHandler.newFactory());
         this.loop = group.next();
         this.longestDeadlineMs = TimeUnit.MICROSECONDS.toMillis(config.settings().classes().stream()
                 .mapToLong(RequestClass::deadlineUs).max().orElseThrow());
@@ -106,7 +109,8 @@
         NettyDefaults.apply();
         ProxyServer server;
         try {
-            server = start(ProxyConfig.read(env), new EventLog(err), LeastLoadedBalancer::new);
+            server = start(ProxyConfig.read(env), new EventLog(err), LeastLoadedBalancer::new, new Clock(),
+                    ProxyMemory.ofHeap(Runtime.getRuntime().maxMemory()), () -> haltAfterLoopFailure(err));
         } catch (ProxyConfig.InvalidConfigException e) {
             err.println("passhatch: " + e.getMessage());
             return 2;
@@ -131,13 +135,28 @@
     }
 
     /**
-     * Starts a proxy on the system clock.
+     * Ends the process, whose event loop has ended: it could answer nothing any more, but would keep its
+     * clients and its address. There may be no memory left, so the process ends even if nothing can be
+     * logged.
+     */
+    private static void haltAfterLoopFailure(PrintStream err) {
+        try {
+            err.println(LOOP_FAILURE_MESSAGE);
+        } finally {
+            Runtime.getRuntime().halt(LOOP_FAILURE_STATUS);
+        }
+    }
+
+    /**
+     * Starts a proxy on the system clock, with memory budgets that fit the heap, that does nothing if its
+     * event loop fails.
      *
-     * @see #start(ProxyConfig, EventLog, ModuleFactory, Clock)
+     * @see #start(ProxyConfig, EventLog, ModuleFactory, Clock, ProxyMemory, Runnable)
      */
     static ProxyServer start(ProxyConfig config, EventLog log, ModuleFactory moduleFactory)
             throws ProxyConfig.InvalidConfigException, InterruptedException, ExecutionException {
-        return start(config, log, moduleFactory, new Clock());
+        return start(config, log, moduleFactory, new Clock(),
+                ProxyMemory.ofHeap(Runtime.getRuntime().maxMemory()), () -> { });
     }
 
     /**
@@ -145,16 +164,20 @@
      * running, only the console listens at first: clients are accepted once a list of backends has been
      * received.
      *
+     * @param memory limits the bytes that are held for clients and backends
+     * @param onLoopFailure called if the event loop ends without having been asked to
      * @throws ProxyConfig.InvalidConfigException if the settings are invalid or an address cannot be
      *     listened on
      * @throws ExecutionException if checking for another process fails because of an error in this program
      */
-    static ProxyServer start(ProxyConfig config, EventLog log, ModuleFactory moduleFactory, Clock clock)
+    static ProxyServer start(ProxyConfig config, EventLog log, ModuleFactory moduleFactory, Clock clock,
+            ProxyMemory memory, Runnable onLoopFailure)
             throws ProxyConfig.InvalidConfigException, InterruptedException, ExecutionException {
-        ProxyServer server = new ProxyServer(config, log);
+        ProxyServer server = new ProxyServer(config, log, onLoopFailure);
         try {
-            server.loop.submit(() -> server.createComponents(config, moduleFactory, clock)).sync();
+            server.loop.submit(() -> server.createComponents(config, moduleFactory, clock, memory)).sync();
         } catch (IllegalArgumentException e) {
+            server.terminating = true;
             server.group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
             throw new ProxyConfig.InvalidConfigException("config: settings: " + e.getMessage());
         }
@@ -203,21 +226,21 @@
         });
     }
 
-    private void createComponents(ProxyConfig config, ModuleFactory moduleFactory, Clock clock) {
+    private void createComponents(ProxyConfig config, ModuleFactory moduleFactory, Clock clock,
+            ProxyMemory memory) {
         reservedDescriptors = RESERVED_DESCRIPTORS
                 + (config.console() == null ? 0 : Console.MAX_CONNECTIONS + 1);
         int clientDescriptors = clientDescriptors(config.maxDescriptors());
         backendPool = new BackendPool(loop, clock, log, config.connectTimeoutUs(),
-                config.settings().limits().keepaliveUs(), backendDescriptors(config.maxDescriptors()));
+                config.settings().limits().keepaliveUs(), backendDescriptors(config.maxDescriptors()),
+                memory.transfer());
         loop.scheduleAtFixedRate(backendPool::closeStale, POOL_SWEEP_INTERVAL_MS, POOL_SWEEP_INTERVAL_MS,
                 TimeUnit.MILLISECONDS);
-        proxy = new ProxyLoop(loop, clock, log, config, backendPool, moduleFactory);
+        proxy = new ProxyLoop(loop, clock, log, config, backendPool, moduleFactory, memory);
         drainState = new DrainState(loop);
         console = new Console(loop, log, new ConsoleRoutes(new ConsoleOperations()));
         clientServer = new ClientServer(loop, clock, log, new RequestParser(config), proxy, clientDescriptors,
-                new MemoryBudget((int) Math.min(1L << 30,
-                        Runtime.getRuntime().maxMemory() / BODY_BUDGET_HEAP_DIVISOR)),
-                drainState);
+                memory, drainState);
         if (config.console() != null) {
             handover = new Handover(loop, log, config.stateDirectory(), config.name(),
                     new SharedStateListener(config.maxDescriptors()));
@@ -430,6 +453,7 @@
     }
 
     private void terminate() {
+        terminating = true;
         proxy.stop();
         console.close();
         if (handover != null) {
--- a/src/main/java/passhatch/proxy/ResponseReader.java
+++ b/src/main/java/passhatch/proxy/ResponseReader.java
@@ -1,5 +1,7 @@
 package passhatch.proxy;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
@@ -7,8 +9,7 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
-import java.io.ByteArrayOutputStream;
-import java.io.IOException;
+import java.util.Arrays;
 import passhatch.Balancer.Outcome;
 import passhatch.proxy.BackendPool.Result;
 
@@ -27,15 +28,31 @@
     /** Interim (1xx) responses before the final one; a backend that sends more would never end. */
     private static final int MAX_INTERIM_RESPONSES = 16;
 
-    private final ByteArrayOutputStream body = new ByteArrayOutputStream(0);
+    private static final int INITIAL_CAPACITY_BYTES = 1 << 9;
+    private static final byte[] NO_BYTES = {};
+
+    private final MemoryBudget budget;
+    /** The buffered part of the body of a 200 response; other bodies are only counted. */
+    private byte[] buffer = NO_BYTES;
+    /** Bytes of the budget that the buffer takes, which is its capacity. */
+    private int budgetedBytes;
+    /** Bytes of the body that were received. */
+    private int bodyBytes;
+    /** Whether the budget did not suffice for the buffer, so that the response has to be streamed. */
+    private boolean budgetExceeded;
     private HttpResponse head;
     private int interimResponses;
     private boolean malformed;
     /** Whether the result was given before the end of the response. */
     private boolean truncated;
 
+    /** Creates a reader that buffers bodies at the expense of the budget. */
+    ResponseReader(MemoryBudget budget) {
+        this.budget = budget;
+    }
+
     /** Reads the next part. Returns the result once the response is complete or malformed, else null. */
-    Result read(HttpObject part) throws IOException {
+    Result read(HttpObject part) {
         if (part instanceof HttpResponse response) {
             head = response;
         }
@@ -44,8 +61,8 @@
             return Result.withoutBody(Outcome.ERROR);
         }
         if (part instanceof HttpContent content) {
-            content.content().readBytes(body, content.content().readableBytes());
-            if (body.size() > MAX_BUFFERED_BYTES && !isOk()) {
+            append(content.content());
+            if (bodyBytes > MAX_BUFFERED_BYTES && !isOk()) {
                 // The status determines the outcome, and the body of an error response is not forwarded.
                 truncated = true;
                 return toResult();
@@ -62,9 +79,44 @@
         return toResult();
     }
 
-    /** Whether part of the body of a 200 response has arrived that is known to be too long to buffer. */
+    private void append(ByteBuf bytes) {
+        int addedBytes = bytes.readableBytes();
+        if (isOk()) {
+            ensureCapacity(bodyBytes + addedBytes);
+            bytes.readBytes(buffer, bodyBytes, addedBytes);
+        }
+        bodyBytes += addedBytes;
+    }
+
+    private void ensureCapacity(int neededBytes) {
+        if (neededBytes <= buffer.length) {
+            return;
+        }
+        int doubledBytes = Math.min(MAX_BUFFERED_BYTES, Math.max(INITIAL_CAPACITY_BYTES, buffer.length * 2));
+        int capacityBytes = Math.max(neededBytes, doubledBytes);
+        if (!budget.reserve(capacityBytes - budgetedBytes)) {
+            budgetExceeded = true;
+            budget.hold(capacityBytes - budgetedBytes);
+        }
+        budgetedBytes = capacityBytes;
+        buffer = Arrays.copyOf(buffer, capacityBytes);
+    }
+
+    /** Gives the buffer up, as the response is complete or of no more interest. */
+    void releaseBuffer() {
+        budget.release(budgetedBytes);
+        budgetedBytes = 0;
+        buffer = NO_BYTES;
+        bodyBytes = 0;
+    }
+
+    /**
+     * Whether part of the body of a 200 response has arrived that is known to be too long to buffer, or that
+     * the memory budget does not allow to be buffered.
+     */
     boolean exceedsBuffer() {
-        return hasBodyBytes() && (contentLength() > MAX_BUFFERED_BYTES || body.size() > MAX_BUFFERED_BYTES);
+        return hasBodyBytes() && (budgetExceeded || contentLength() > MAX_BUFFERED_BYTES
+                || bodyBytes > MAX_BUFFERED_BYTES);
     }
 
     /** Whether part of the body of a 200 response of unknown length has arrived. */
@@ -74,7 +126,7 @@
 
     /** Whether part of the body of a 200 response is buffered. */
     private boolean hasBodyBytes() {
-        return head != null && isOk() && body.size() > 0;
+        return head != null && isOk() && bodyBytes > 0;
     }
 
     private boolean isOk() {
@@ -87,9 +139,9 @@
     }
 
     /** Removes and returns the buffered part of the body, when the response is streamed from now on. */
-    byte[] takeBufferedBody() {
-        byte[] bytes = body.toByteArray();
-        body.reset();
+    ByteBuf takeBufferedBody() {
+        ByteBuf bytes = Unpooled.wrappedBuffer(buffer, 0, bodyBytes);
+        releaseBuffer();
         return bytes;
     }
 
@@ -120,7 +172,7 @@
         HttpResponseStatus status = head.status();
         var report = LoadReportParser.parse(head.headers().get("X-Load"));
         if (status.equals(HttpResponseStatus.OK)) {
-            return new Result(Outcome.OK, body.toByteArray(), report);
+            return new Result(Outcome.OK, Arrays.copyOf(buffer, bodyBytes), report);
         }
         // Without this header a 503 or 504 may come from a tier behind the backend, after the request ran.
         boolean notRun = (status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)
--- a/src/main/java/passhatch/proxy/ResponseStream.java
+++ b/src/main/java/passhatch/proxy/ResponseStream.java
@@ -4,7 +4,6 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelOption;
-import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
@@ -37,7 +36,9 @@
     private final long contentLength;
     private final Runnable resumeReading;
     private final Owner owner;
-    /** Parts received before the start. They are no more than one read brings. */
+    private final MemoryBudget budget;
+    private final BudgetedWriter writer;
+    /** Parts received before the start. They are no more than a buffered response and one read. */
     private final ArrayDeque<ByteBuf> pendingParts = new ArrayDeque<>();
     private boolean started;
     /** Whether no more will come from the backend, after success or failure. */
@@ -52,14 +53,17 @@
      * @param version HTTP version of the client; a client of HTTP/1.0 does not support chunks
      * @param contentLength length of the body in bytes, or -1 if it is not known
      * @param resumeReading resumes reading from the backend after this stream was not writable
+     * @param budget counts the bytes that are held until the network has taken them
      */
     ResponseStream(Channel channel, HttpVersion version, long contentLength, Runnable resumeReading,
-            Owner owner) {
+            Owner owner, MemoryBudget budget) {
         this.channel = channel;
         this.version = version;
         this.contentLength = contentLength;
         this.resumeReading = resumeReading;
         this.owner = owner;
+        this.budget = budget;
+        this.writer = new BudgetedWriter(channel, budget, this::resumeIfWritable);
     }
 
     @Override
@@ -67,15 +71,16 @@
         if (released) {
             bytes.release();
         } else if (started) {
-            channel.writeAndFlush(new DefaultHttpContent(bytes));
+            writer.writeAndFlush(bytes);
         } else {
+            budget.hold(bytes.readableBytes());
             pendingParts.add(bytes);
         }
     }
 
     @Override
     public boolean isWritable() {
-        return started && channel.isWritable();
+        return started && writer.isWritable();
     }
 
     @Override
@@ -151,7 +156,9 @@
         }
         channel.write(response);
         while (!pendingParts.isEmpty()) {
-            channel.write(new DefaultHttpContent(pendingParts.poll()));
+            ByteBuf part = pendingParts.poll();
+            budget.release(part.readableBytes());
+            writer.write(part);
         }
         channel.flush();
         resumeIfWritable();
@@ -159,7 +166,7 @@
 
     /** Resumes reading from the backend if the client connection is writable. */
     void resumeIfWritable() {
-        if (isWritable() && !ended) {
+        if (isWritable() && !ended && !released) {
             resumeReading.run();
         }
     }
@@ -172,7 +179,10 @@
     /** Releases the parts not written and discards all later ones. */
     void release() {
         released = true;
-        pendingParts.forEach(ByteBuf::release);
+        for (ByteBuf part : pendingParts) {
+            budget.release(part.readableBytes());
+            part.release();
+        }
         pendingParts.clear();
     }
 }
--- a/src/test/java/passhatch/proxy/BackendPoolTest.java
+++ b/src/test/java/passhatch/proxy/BackendPoolTest.java
@@ -54,7 +54,8 @@
     }
 
     private BackendPool newPool(long keepaliveUs) {
-        return new BackendPool(loop, new Clock(), new EventLog(System.err), 10_000_000, keepaliveUs, 2);
+        return new BackendPool(loop, new Clock(), new EventLog(System.err), 10_000_000, keepaliveUs, 2,
+                new MemoryBudget(1 << 20));
     }
 
     @AfterEach
--- a/src/test/java/passhatch/proxy/ClientConnectionTest.java
+++ b/src/test/java/passhatch/proxy/ClientConnectionTest.java
@@ -38,7 +38,7 @@
     void isNotIdleWhileResponseBytesAreUnsent() {
         BlockableChannel channel = new BlockableChannel();
         ClientServer server = new ClientServer(loop, new Clock(), new EventLog(System.err), null, null, 10,
-                null, new DrainState(loop));
+                ProxyMemory.ofHeap(1 << 20), new DrainState(loop));
         ClientConnection connection = new ClientConnection(server, channel, 1);
         assertTrue(connection.isIdle());
         channel.blocked = true;
--- a/src/test/java/passhatch/proxy/HttpTestConnection.java
+++ b/src/test/java/passhatch/proxy/HttpTestConnection.java
@@ -74,7 +74,8 @@
     }
 
     /**
-     * Reads one message with a body of the length given by its headers; null at the end of the connection.
+     * Reads one message with a body framed as its headers say, by a length or in chunks; null at the end of
+     * the connection.
      *
      * @throws EOFException if the connection ends within the body
      */
@@ -88,12 +89,33 @@
             int colon = line.indexOf(':');
             headers.put(line.substring(0, colon).toLowerCase(Locale.ROOT), line.substring(colon + 1).strip());
         }
-        int length = Integer.parseInt(headers.getOrDefault("content-length", "0"));
-        byte[] body = input.readNBytes(length);
-        if (body.length < length) {
+        byte[] body = "chunked".equals(headers.get("transfer-encoding")) ? readChunks()
+                : readExactly(Integer.parseInt(headers.getOrDefault("content-length", "0")));
+        return new Message(startLine, headers, body);
+    }
+
+    private byte[] readChunks() throws IOException {
+        ByteArrayOutputStream body = new ByteArrayOutputStream();
+        while (true) {
+            String sizeLine = readLine();
+            if (sizeLine == null) {
+                throw new EOFException("the connection ended between two chunks of a message");
+            }
+            int size = Integer.parseInt(sizeLine, 16);
+            body.write(readExactly(size));
+            readLine();
+            if (size == 0) {
+                return body.toByteArray();
+            }
+        }
+    }
+
+    private byte[] readExactly(int length) throws IOException {
+        byte[] bytes = input.readNBytes(length);
+        if (bytes.length < length) {
             throw new EOFException("the connection ended within the body of a message");
         }
-        return new Message(startLine, headers, body);
+        return bytes;
     }
 
     /** The received bytes that have not been read yet. */
--- a/src/test/java/passhatch/proxy/Rig.java
+++ b/src/test/java/passhatch/proxy/Rig.java
@@ -15,6 +15,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.atomic.AtomicLong;
 import passhatch.proxy.HttpTestConnection.Message;
@@ -42,6 +43,9 @@
     /** Time in nanoseconds at which the proxy's clock is frozen until a test advances it; 0 if it runs. */
     private long frozenAtNs;
     private ProxyServer.ModuleFactory module = passhatch.LeastLoadedBalancer::new;
+    private ProxyMemory memory = ProxyMemory.ofHeap(Runtime.getRuntime().maxMemory());
+    /** Counted down if the event loop ends without having been asked to. */
+    final CountDownLatch loopFailure = new CountDownLatch(1);
 
     /** An entry of {@link #discoveryLines} that ends the watch with a reset. */
     static final String END_OF_WATCH = "end";
@@ -72,6 +76,12 @@
         configuredDiscovery = "127.0.0.1:" + discovery.address().getPort();
     }
 
+    /** Sets the memory budgets of the proxy. */
+    Rig memory(ProxyMemory budgets) {
+        memory = budgets;
+        return this;
+    }
+
     /** Replaces a text in the configuration; writing the configuration fails if it does not occur. */
     Rig replaceInConfig(String text, String replacement) {
         configReplacements.put(text, replacement);
@@ -198,7 +208,8 @@
     private Rig launch(Map<String, String> environment) throws Exception {
         proxy = ProxyServer.start(ProxyConfig.read(environment),
                 new EventLog(new PrintStream(log, true, StandardCharsets.UTF_8)), module,
-                new Clock(() -> (frozenAtNs == 0 ? System.nanoTime() : frozenAtNs) + clockOffsetNs.get()));
+                new Clock(() -> (frozenAtNs == 0 ? System.nanoTime() : frozenAtNs) + clockOffsetNs.get()),
+                memory, loopFailure::countDown);
         return this;
     }
 
@@ -278,7 +289,7 @@
 
     @Override
     public void close() throws IOException {
-        if (proxy != null && !hasEnded()) {
+        if (proxy != null && !hasEnded() && loopFailure.getCount() > 0) {
             proxy.terminateNow();
         }
         for (Closeable resource : resources) {
