Bound the kernel's send buffers, so that a slow but steady reader is not cut off

What callers saw: a download that is read at 64 kB a second was cut off after ten seconds, while its backend still gave.

Cause: a write times out after 10 s without progress, and Linux reports a full send buffer as writable again only once a third of it is free. That buffer grows to 4 MB, a third of which a client takes 20 s to read at that rate.

Change: client and backend connections get a send buffer of 128 KiB, which Linux doubles. A third of it is read in 1.4 s at 64 kB a second. The same holds for bodies sent to slow backends, which count as stalled after 4 s. It also bounds what the kernel holds for a proxy.

SlowDownloadsTest, MemoryBudgetTest, LargeBodiesTest and ProxyServerTest passed.

--- a/src/main/java/passhatch/proxy/BackendPool.java
+++ b/src/main/java/passhatch/proxy/BackendPool.java
@@ -70,6 +70,11 @@
      * is read for that peer until the data has fallen below the low limit.
      */
     static final WriteBufferWaterMark WRITE_WATER_MARK = new WriteBufferWaterMark(1 << 14, 1 << 15);
+    /**
+     * The kernel's send buffer of a connection, in bytes. A full one accepts bytes again once a third of it
+     * is free: a large one would make a peer that reads slowly but steadily seem to have stopped.
+     */
+    static final int SEND_BUFFER_BYTES = 1 << 17;
     /** Most bytes that one read from a socket takes. */
     static final int MAX_READ_BYTES = 1 << 15;
     /** Most idle connections kept to one backend. More would only use up the backend's connection table. */
@@ -219,6 +224,7 @@
         this.transferBudget = transferBudget;
         this.bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.SO_SNDBUF, SEND_BUFFER_BYTES)
                 .option(ChannelOption.WRITE_BUFFER_WATER_MARK, WRITE_WATER_MARK)
                 .option(ChannelOption.RECVBUF_ALLOCATOR, new BudgetedReceiveAllocator(
                         new AdaptiveRecvByteBufAllocator(64, 2048, MAX_READ_BYTES), transferBudget))
--- a/src/main/java/passhatch/proxy/ClientServer.java
+++ b/src/main/java/passhatch/proxy/ClientServer.java
@@ -93,6 +93,7 @@
         ServerBootstrap bootstrap = new ServerBootstrap().group(loop).channelFactory(SharedListener::new)
                 .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.SO_SNDBUF, BackendPool.SEND_BUFFER_BYTES)
                 .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, BackendPool.WRITE_WATER_MARK)
                 .childOption(ChannelOption.RECVBUF_ALLOCATOR, readUntilEmpty())
                 .childOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
