Count the heads that are read ahead with their headers in the budget of client input

Cause: ReadAheadBuffer counted 512 bytes for each head, which may take 12 KiB with its address and headers. So the limit of 256 KiB a connection, and the budget over all, held 20 times as much.

Change: a head counts with the length of its address and headers and a fixed overhead for each; a part's size is worked out once.

Measured: MemoryBudgetTest#headsThatAreReadAheadCountWithTheirHeaders (a head of 50 headers of 100 characters was counted as 512 bytes); MemoryBudgetTest, BadClientsTest, LeavingClientsTest and ClosingConnectionsTest passed.

--- a/src/main/java/passhatch/proxy/ReadAheadBuffer.java
+++ b/src/main/java/passhatch/proxy/ReadAheadBuffer.java
@@ -2,8 +2,11 @@
 
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.util.ReferenceCountUtil;
 import java.util.ArrayDeque;
+import java.util.Iterator;
+import java.util.Map;
 
 /**
  * Buffers input of one client connection that has been read but not handled yet. The connection is read
@@ -14,8 +17,10 @@
 final class ReadAheadBuffer {
 
     private static final int MAX_BUFFERED_BYTES = 1 << 18;
-    /** Approximate memory taken by the head of a request. */
-    private static final int ESTIMATED_HEAD_BYTES = 1 << 9;
+    /** Approximate memory taken by the head of a request, without the characters of its texts. */
+    private static final int ESTIMATED_HEAD_OVERHEAD_BYTES = 1 << 9;
+    /** Approximate memory taken by the objects around each header of a request. */
+    private static final int ESTIMATED_HEADER_OVERHEAD_BYTES = 1 << 7;
     /** Approximate memory taken by the objects around each piece of a body. */
     private static final int ESTIMATED_CHUNK_OVERHEAD_BYTES = 1 << 6;
 
@@ -23,13 +28,9 @@
      * A part of a request.
      *
      * @param receivedAtUs when it was read, in microseconds of the proxy's clock
+     * @param estimatedBytes approximate memory that it takes, in bytes
      */
-    record ReceivedPart(HttpObject part, long receivedAtUs) {
-        private int estimatedBytes() {
-            return part instanceof HttpContent content ? ESTIMATED_CHUNK_OVERHEAD_BYTES
-                    + content.content().readableBytes() : ESTIMATED_HEAD_BYTES;
-        }
-    }
+    record ReceivedPart(HttpObject part, long receivedAtUs, int estimatedBytes) { }
 
     private final MemoryBudget budget;
     /** In the order of arrival. */
@@ -44,7 +45,8 @@
 
     /** Retains the part and appends it, also when the buffer is full. */
     void add(HttpObject part, long nowUs) {
-        ReceivedPart received = new ReceivedPart(ReferenceCountUtil.retain(part), nowUs);
+        ReceivedPart received = new ReceivedPart(ReferenceCountUtil.retain(part), nowUs,
+                estimatedBytes(part));
         parts.add(received);
         bufferedBytes += received.estimatedBytes();
         if (budget.reserve(bufferedBytes - reservedBytes)) {
@@ -52,6 +54,23 @@
         }
     }
 
+    private static int estimatedBytes(HttpObject part) {
+        if (part instanceof HttpContent content) {
+            return ESTIMATED_CHUNK_OVERHEAD_BYTES + content.content().readableBytes();
+        }
+        int bytes = ESTIMATED_HEAD_OVERHEAD_BYTES;
+        if (part instanceof HttpRequest head) {
+            bytes += head.uri().length();
+            Iterator<Map.Entry<CharSequence, CharSequence>> headers = head.headers().iteratorCharSequence();
+            while (headers.hasNext()) {
+                Map.Entry<CharSequence, CharSequence> header = headers.next();
+                bytes += ESTIMATED_HEADER_OVERHEAD_BYTES + header.getKey().length()
+                        + header.getValue().length();
+            }
+        }
+        return bytes;
+    }
+
     /** Removes the next part, which the caller has to release; null if the buffer is empty. */
     ReceivedPart poll() {
         ReceivedPart next = parts.poll();
--- a/src/test/java/passhatch/proxy/MemoryBudgetTest.java
+++ b/src/test/java/passhatch/proxy/MemoryBudgetTest.java
@@ -8,7 +8,9 @@
 
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -217,6 +219,27 @@
         }
     }
 
+    // Guards against many long heads that are read ahead: each counted as 512 bytes, whatever its length.
+    @Test
+    void headsThatAreReadAheadCountWithTheirHeaders() {
+        MemoryBudget budget = new MemoryBudget(1 << 20);
+        ReadAheadBuffer readAhead = new ReadAheadBuffer(budget);
+        int headers = 50;
+        String value = "v".repeat(100);
+        for (int heads = 1; heads <= 10; heads++) {
+            DefaultHttpRequest head = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/x");
+            for (int i = 0; i < headers; i++) {
+                head.headers().add("X-Header", value);
+            }
+            readAhead.add(head, 0);
+            assertTrue(budget.heldBytes() >= heads * headers * value.length(), "held: " + budget.heldBytes());
+        }
+        while (!readAhead.isEmpty()) {
+            readAhead.poll();
+        }
+        assertEquals(0, budget.heldBytes());
+    }
+
     /**
      * Downloads and uploads of random sizes and chunks, with clients that leave in the middle and backends
      * that break off: no more is held than the budget allows, whatever is complete is unchanged, and nothing
