Keep a proxy working after an Error in its module or in a repeated check

After one in the decision module every later request waited for its own deadline and got 502 or 503 there.

Cause: ProxyLoop.notifyModule caught RuntimeException only and left moduleRunning set when an Error passed, so the module was never called again while its events piled up; ClientConnection.writeResponses left its flag set in the same way. Checks that schedule their own successor, or run at a fixed rate, ended for good when one run threw, and Netty drops what they throw without a line.

Change: both flags are reset in a finally block, and an Error in the module fails the request that it concerns. RepeatingTask logs what a check throws and goes on. Lines on errors in the program are limited like all others, as a check may throw each time.

Measured: EventLoopErrorsTest#anErrorInTheModuleFailsItsRequestAndNoOther failed before the change (503 at the deadline of 10 s where 502 is due at once) and passes; so do its other four tests, ClientConnectionTest, HandoverTest, MemoryBudgetTest and the 52 of ProxyServerTest. ProxyServerTest#respondsBeforeTheDeadlineIfTheModuleDoesNot failed once, run on one core beside another build (its response has 15 ms to arrive, the first in a cold JVM); it passed in two further runs on two cores.

--- a/src/main/java/passhatch/proxy/ClientConnection.java
+++ b/src/main/java/passhatch/proxy/ClientConnection.java
@@ -577,6 +577,15 @@
             return;
         }
         writingResponses = true;
+        try {
+            writeAvailableResponses();
+        } finally {
+            writingResponses = false;
+        }
+        scheduleHandling();
+    }
+
+    private void writeAvailableResponses() {
         boolean nextMayBeWritten = true;
         while (nextMayBeWritten && !requests.isEmpty()) {
             PipelinedRequest request = requests.peek();
@@ -602,8 +611,6 @@
                 nextMayBeWritten = false;
             }
         }
-        writingResponses = false;
-        scheduleHandling();
     }
 
     /**
--- a/src/main/java/passhatch/proxy/ClientServer.java
+++ b/src/main/java/passhatch/proxy/ClientServer.java
@@ -14,7 +14,6 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import passhatch.proxy.EventLog.Kind;
 
 /**
@@ -80,8 +79,10 @@
         this.memory = memory;
         this.drainState = drainState;
         this.nextLoopCheckUs = clock.nowUs();
-        checkLoopDelay();
-        closeStalledConnections();
+        RepeatingTask.start(loop, log, "check of the loop's delay", LOOP_CHECK_INTERVAL_US,
+                this::checkLoopDelay);
+        RepeatingTask.start(loop, log, "check for stalled connections", STALLED_CHECK_INTERVAL_US,
+                this::closeStalledConnections);
     }
 
     /**
@@ -176,14 +177,13 @@
                 .forEach(ClientConnection::closeIfIdle);
     }
 
-    /** Measures the delay of the event loop, as the delay of this task, and schedules the next check. */
+    /** Measures the delay of the event loop, as the delay of this task. */
     private void checkLoopDelay() {
         lastLoopDelayUs = currentLoopDelayUs();
         if (lastLoopDelayUs >= LOGGED_LOOP_DELAY_US) {
             log.line(Kind.STANDSTILL, "the event loop was blocked for " + lastLoopDelayUs / 1_000 + " ms");
         }
         nextLoopCheckUs = clock.nowUs() + LOOP_CHECK_INTERVAL_US;
-        loop.schedule(this::checkLoopDelay, LOOP_CHECK_INTERVAL_US, TimeUnit.MICROSECONDS);
     }
 
     /** How late the next delay check is already, beyond the tolerance for timers; 0 if it is not late. */
@@ -266,7 +266,7 @@
         return longestIdle;
     }
 
-    /** Checks all connections for being idle or stalled, and schedules the next check. */
+    /** Checks all connections for being idle or stalled. */
     private void closeStalledConnections() {
         long nowUs = clock.nowUs();
         boolean closesIdle = drainState.closesIdle();
@@ -276,7 +276,6 @@
         List.copyOf(connections).forEach(connection ->
                 connection.closeIfStalled(nowUs, firstRequestTimeoutUs, idleTimeoutUs));
         evictExcessConnections();
-        loop.schedule(this::closeStalledConnections, STALLED_CHECK_INTERVAL_US, TimeUnit.MICROSECONDS);
     }
 
     // ---- called by connections
--- a/src/main/java/passhatch/proxy/EventLog.java
+++ b/src/main/java/passhatch/proxy/EventLog.java
@@ -34,6 +34,8 @@
         CONSOLE(MAX_LINES_PER_WINDOW),
         /** A rule on sending attempts was violated, which is an error in this program. */
         VIOLATION(MAX_FREQUENT_LINES_PER_WINDOW),
+        /** An error in this program. */
+        BUG(MAX_LINES_PER_WINDOW),
         /** The event loop did not run for a while. */
         STANDSTILL(MAX_LINES_PER_WINDOW);
 
@@ -65,6 +67,13 @@
 
     /** Writes a line unless its kind has reached the limit of the current window. */
     void line(Kind kind, String text) {
+        if (admits(kind)) {
+            line(text);
+        }
+    }
+
+    /** Counts an event and returns whether it is to be written. */
+    private boolean admits(Kind kind) {
         Window window = windows.computeIfAbsent(kind, k -> new Window());
         long nowNs = System.nanoTime();
         if (nowNs - window.startNs >= WINDOW_NS) {
@@ -76,15 +85,17 @@
             window.suppressed = 0;
         }
         if (window.lines++ < kind.maxLinesPerWindow) {
-            line(text);
-        } else {
-            window.suppressed++;
+            return true;
         }
+        window.suppressed++;
+        return false;
     }
 
-    /** Logs an error in this program, with its stack trace and the word BUG. */
+    /** Logs an error in this program, with its stack trace and the word BUG, unless there were many. */
     void bug(String text, Throwable cause) {
-        out.println(Instant.now() + " BUG " + text);
-        cause.printStackTrace(out);
+        if (admits(Kind.BUG)) {
+            line("BUG " + text);
+            cause.printStackTrace(out);
+        }
     }
 }
--- a/src/main/java/passhatch/proxy/Handover.java
+++ b/src/main/java/passhatch/proxy/Handover.java
@@ -70,8 +70,9 @@
         this.directory = openDirectory(path, proxyName);
         if (directory != null) {
             poll();
-            pollTimer = loop.scheduleWithFixedDelay(this::poll, POLL_INTERVAL_MS, POLL_INTERVAL_MS,
-                    TimeUnit.MILLISECONDS);
+            pollTimer = loop.scheduleWithFixedDelay(
+                    RepeatingTask.guarded(log, "poll of the shared state", this::poll), POLL_INTERVAL_MS,
+                    POLL_INTERVAL_MS, TimeUnit.MILLISECONDS);
         }
     }
 
--- a/src/main/java/passhatch/proxy/ProxyLoop.java
+++ b/src/main/java/passhatch/proxy/ProxyLoop.java
@@ -484,18 +484,25 @@
             return;
         }
         moduleRunning = true;
-        for (ModuleEvent event = events.poll(); event != null; event = events.poll()) {
-            try {
-                event.delivery().run();
-            } catch (RuntimeException exception) {
-                log.bug("in the decision module", exception);
-                if (event.exchange() != null && !event.exchange().responded
-                        && event.exchange().streamedAttempt == null) {
-                    respond(event.exchange(), ProxyResponse.failed());
-                }
+        try {
+            for (ModuleEvent event = events.poll(); event != null; event = events.poll()) {
+                deliver(event);
+            }
+        } finally {
+            moduleRunning = false;
+        }
+    }
+
+    private void deliver(ModuleEvent event) {
+        try {
+            event.delivery().run();
+        } catch (RuntimeException | Error thrown) {
+            log.bug("in the decision module", thrown);
+            if (event.exchange() != null && !event.exchange().responded
+                    && event.exchange().streamedAttempt == null) {
+                respond(event.exchange(), ProxyResponse.failed());
             }
         }
-        moduleRunning = false;
     }
 
     // ---- actions of the module
--- a/src/main/java/passhatch/proxy/ProxyServer.java
+++ b/src/main/java/passhatch/proxy/ProxyServer.java
@@ -29,7 +29,7 @@
 public final class ProxyServer {
 
     /** How often stale and stalled backend connections are closed. */
-    private static final long POOL_SWEEP_INTERVAL_MS = 250;
+    private static final long POOL_SWEEP_INTERVAL_US = 250_000;
     /** How often a shutdown checks whether connections still need this process. */
     private static final long DRAIN_CHECK_INTERVAL_MS = 10;
     /**
@@ -234,8 +234,8 @@
         backendPool = new BackendPool(loop, clock, log, config.connectTimeoutUs(),
                 config.settings().limits().keepaliveUs(), backendDescriptors(config.maxDescriptors()),
                 memory.transfer());
-        loop.scheduleAtFixedRate(backendPool::closeStale, POOL_SWEEP_INTERVAL_MS, POOL_SWEEP_INTERVAL_MS,
-                TimeUnit.MILLISECONDS);
+        RepeatingTask.start(loop, log, "close of stale backend connections", POOL_SWEEP_INTERVAL_US,
+                backendPool::closeStale);
         proxy = new ProxyLoop(loop, clock, log, config, backendPool, moduleFactory, memory);
         drainState = new DrainState(loop);
         console = new Console(loop, log, new ConsoleRoutes(new ConsoleOperations()));
