Draw extra replicas at random again, with a limit on the draws

Cause: linear probing chooses other extra replicas than repeated draws wherever a draw is rejected.

At most five steps for each replica and server, whatever the ids; SubsettingRandomListsTest bounds the lookups by just that, where it allowed the square of the replicas.

--- a/src/main/java/passhatch/Subsetting.java
+++ b/src/main/java/passhatch/Subsetting.java
@@ -38,6 +38,9 @@
     /** Minimum number of rounds in which the maximum applies, for small subsets. */
     private static final int MIN_BOUNDED_ROUNDS = 64;
 
+    /** Random draws of extra replicas for a server, for each replica; most servers need one or two in all. */
+    private static final int MAX_DRAWS_PER_REPLICA = 4;
+
     private final int replicaIndex;
     private final int replicas;
     private final HashRing ring = new HashRing();
@@ -176,21 +179,19 @@
     }
 
     /**
-     * Chooses extra replicas of a server by linear probing: each is the first one, from an index that the
-     * server draws, that does not use the server yet. This takes at most as many steps for each extra replica
-     * as there are replicas, whatever the ids of the servers are.
+     * Chooses extra replicas of a server among those that do not use it yet: the server draws replicas, and
+     * after a limited number of draws the remaining ones are taken in the order of their indices. So the
+     * number of steps is limited whatever the ids of the servers are.
      *
      * @param count the number of extra replicas; at most as many as do not use the server
      */
     private Set<Integer> drawExtraReplicas(SubsetAssignment assignment, int slot, int count) {
         Set<Integer> extraReplicas = new HashSet<>();
-        for (int drawIndex = 0; drawIndex < count; drawIndex++) {
-            int drawn = HashRing.draw(ring.server(slot), drawIndex, replicas);
-            for (int offset = 0; offset < replicas; offset++) {
-                int candidate = (drawn + offset) % replicas;
-                if (!assignment.isAssigned(candidate, slot) && extraReplicas.add(candidate)) {
-                    break;
-                }
+        int maxDraws = MAX_DRAWS_PER_REPLICA * replicas;
+        for (int i = 0; i < maxDraws + replicas && extraReplicas.size() < count; i++) {
+            int candidate = i < maxDraws ? HashRing.draw(ring.server(slot), i, replicas) : i - maxDraws;
+            if (!assignment.isAssigned(candidate, slot)) {
+                extraReplicas.add(candidate);
             }
         }
         return extraReplicas;
--- a/src/test/java/passhatch/SubsettingRandomListsTest.java
+++ b/src/test/java/passhatch/SubsettingRandomListsTest.java
@@ -78,12 +78,12 @@
 
     /**
      * The most lookups of an assignment: in the bounded rounds one for each replica, in each later one every
-     * point for each replica, and for the extra replicas of each server each replica once for each draw.
+     * point for each replica, and for the extra replicas of each server four draws and one look a replica.
      */
     private static long maxLookups(int servers, int replicas, int subsetSize) {
         long boundedRounds = Math.max(64, 4L * subsetSize);
         return replicas * (boundedRounds + (long) subsetSize * servers * POINTS_PER_SERVER)
-                + (long) servers * replicas * replicas;
+                + 5L * servers * replicas;
     }
 
     private static void check(Fleet fleet, int subsetSize, String list) {
