--- /dev/null
+++ b/review/cases-2/src/review2/HedgedLongAnswer.java
@@ -0,0 +1,81 @@
+package review2;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** A planned restart while one server of three hangs, where attempts may not be called off. */
+final class HedgedLongAnswer {
+
+    private static final int LONG_BYTES = 100_000;
+    private static final int CLIENTS = 24;
+    private static final double SENT_AFTER = 1.2;
+    private static final double SIGKILL_AFTER = 2.75;
+
+    public static void main(String[] args) {
+        Rig.main(args, rig -> {
+            Rig.Discovery discovery = rig.new Discovery();
+            boolean[] hangs = new boolean[1];
+            for (int i = 1; i <= 3; i++) {
+                int number = i;
+                Rig.Server server = rig.new Server("s-" + i, (request, connection) -> {
+                    if (number == 3 && hangs[0]) {
+                        Rig.sleep(30);
+                    }
+                    Rig.sleep(0.05);
+                    connection.getOutputStream().write(Rig.answer(200, "", request.path().startsWith("/status")
+                            ? new byte[LONG_BYTES] : Rig.bytes("done")));
+                });
+                discovery.set(server.name, server.address(), "SERVING", 0);
+            }
+            Rig.Proxy proxy = rig.startProxy(discovery, Rig.settings("on_request", false, 100_000));
+            List<Rig.Client> clients = new ArrayList<>();
+            for (int round = 0; round < 3; round++) {
+                for (int i = 0; i < CLIENTS; i++) {
+                    if (round == 0) {
+                        clients.add(new Rig.Client(proxy.address));
+                    }
+                    clients.get(i).out.write(Rig.bytes(Rig.request("settle", rig.newId(), 2000, 100)));
+                    Rig.read(clients.get(i).in);
+                }
+            }
+            if (rig.trouble) {
+                proxy.terminate();
+                Rig.start(() -> {
+                    Rig.sleep(SIGKILL_AFTER);
+                    proxy.kill();
+                });
+            }
+            hangs[0] = rig.trouble;
+            Rig.sleep(SENT_AFTER);
+            AtomicInteger lost = new AtomicInteger();
+            AtomicInteger answered = new AtomicInteger();
+            List<Thread> threads = new ArrayList<>();
+            for (int i = 0; i < CLIENTS; i++) {
+                Rig.Client client = clients.get(i);
+                String kind = i % 2 == 0 ? "settle" : "status";
+                String id = rig.newId();
+                client.out.write(Rig.bytes(Rig.request(kind, id, kind.equals("settle") ? 2000 : 1500, 100)));
+                threads.add(Rig.start(() -> {
+                    try {
+                        Rig.Message answer = Rig.read(client.in);
+                        rig.note("client got " + (answer == null ? "the end of the connection" : answer.first
+                                + ", " + answer.body.length + " bytes") + " for " + kind + " " + id);
+                        (answer == null ? lost : answered).incrementAndGet();
+                    } catch (IOException e) {
+                        rig.note("client got " + e + " for " + kind + " " + id);
+                        lost.incrementAndGet();
+                    }
+                }));
+            }
+            for (Thread thread : threads) {
+                thread.join();
+            }
+            rig.note(answered + " requests were answered, " + lost + " got no answer");
+            return lost.get() == 0;
+        });
+    }
+
+    private HedgedLongAnswer() { }
+}
