--- a/review/cases-2/src/review2/HedgedLongAnswer.java
+++ b/review/cases-2/src/review2/HedgedLongAnswer.java
@@ -5,7 +5,7 @@
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
 
-/** A planned restart while one server of three hangs, where attempts may not be called off. */
+/** A planned restart while two servers of four hang, where attempts may not be called off. */
 final class HedgedLongAnswer {
 
     private static final int LONG_BYTES = 100_000;
@@ -17,10 +17,10 @@
         Rig.main(args, rig -> {
             Rig.Discovery discovery = rig.new Discovery();
             boolean[] hangs = new boolean[1];
-            for (int i = 1; i <= 3; i++) {
+            for (int i = 1; i <= 4; i++) {
                 int number = i;
                 Rig.Server server = rig.new Server("s-" + i, (request, connection) -> {
-                    if (number == 3 && hangs[0]) {
+                    if (number > 2 && hangs[0]) {
                         Rig.sleep(30);
                     }
                     Rig.sleep(0.05);
--- a/review/cases-2/src/review2/ManyAtOnce.java
+++ b/review/cases-2/src/review2/ManyAtOnce.java
@@ -7,7 +7,7 @@
 /** A client sends many requests at once on one connection, to servers that are in order. */
 final class ManyAtOnce {
 
-    private static final int REQUESTS = 300;
+    private static final int REQUESTS = 200;
     /** Without the disruption so many are sent at a time, the next ones when these are answered. */
     private static final int FEW = 10;
     private static final double SERVICE = 0.045;
--- a/review/cases-2/src/review2/Rig.java
+++ b/review/cases-2/src/review2/Rig.java
@@ -14,6 +14,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
@@ -43,6 +44,8 @@
     final Path temp;
     final Path root;
     final boolean trouble;
+    /** Descriptors that the configuration allows a proxy. */
+    int sockets = 512;
     private final List<AutoCloseable> closeables = new ArrayList<>();
     private final AtomicLong ids = new AtomicLong();
     private final String run = Long.toHexString(System.currentTimeMillis());
@@ -197,15 +200,43 @@
 
     /** Discovery: one list, whole or as a watch. */
     final class Discovery implements AutoCloseable {
-        private final ServerSocket listener;
+        private ServerSocket listener;
+        private final List<Socket> calls = new CopyOnWriteArrayList<>();
+        /** Time in seconds until a call is answered. */
+        volatile double answersAfter;
         private final Map<String, String> entries = new LinkedHashMap<>();
         private final Map<String, Integer> changedAt = new LinkedHashMap<>();
         private int version = 1;
 
         Discovery() throws IOException {
-            listener = new ServerSocket(0, 64, InetAddress.getByName("127.0.0.1"));
             closeables.add(this);
-            start(() -> acceptAll());
+            listen();
+        }
+
+        private void listen() throws IOException {
+            ServerSocket opened = new ServerSocket(0, 64, InetAddress.getByName("127.0.0.1"));
+            listener = opened;
+            start(() -> acceptAll(opened));
+        }
+
+        /**
+         * Moves to a new address. The old one takes no new connections, and its open ones are closed after
+         * 1.5 s.
+         */
+        void move() throws IOException {
+            listener.close();
+            List<Socket> old = List.copyOf(calls);
+            start(() -> {
+                sleep(1.5);
+                for (Socket socket : old) {
+                    try {
+                        socket.close();
+                    } catch (IOException e) {
+                        note("discovery: " + e);
+                    }
+                }
+            });
+            listen();
         }
 
         String address() {
@@ -233,10 +264,11 @@
                     + String.join(",", shown) + "]}\n";
         }
 
-        private void acceptAll() {
+        private void acceptAll(ServerSocket from) {
             try {
                 while (true) {
-                    Socket socket = listener.accept();
+                    Socket socket = from.accept();
+                    calls.add(socket);
                     start(() -> serve(socket));
                 }
             } catch (IOException closed) {
@@ -251,8 +283,11 @@
                 if (call == null) {
                     return;
                 }
+                note("discovery: call " + call.path());
+                sleep(answersAfter);
                 OutputStream out = socket.getOutputStream();
                 if (!call.path().contains("watch=1")) {
+                    note("discovery: answers " + call.path() + " with version " + version);
                     out.write(answer(200, "", bytes(list(-1))));
                     return;
                 }
@@ -274,7 +309,9 @@
                     }
                 }
             } catch (IOException | InterruptedException ended) {
-                return;
+                note("discovery: a call ended: " + ended);
+            } finally {
+                calls.remove(socket);
             }
         }
 
@@ -388,17 +425,17 @@
         final String console;
         private final Process process;
         private final Path log;
+        private final Path config;
+        private final String settings;
 
         Proxy(Discovery discovery, String settings, String address, String console, Path tmpdir)
                 throws IOException {
             this.address = address;
             this.console = console;
             Files.createDirectories(tmpdir);
-            Path config = Files.createTempFile(temp, "config", ".json");
-            Files.writeString(config, "{\"name\":\"n0\",\"listen\":\"" + address + "\",\"discovery\":\""
-                    + discovery.address() + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,"
-                    + "\"memory_mb\":192,\"sockets\":512},\"known\":{\"index\":0,\"snapshot\":true,"
-                    + "\"endpoints\":[]},\"settings\":" + settings + "}");
+            this.settings = settings;
+            config = Files.createTempFile(temp, "config", ".json");
+            writeConfig(discovery);
             String run = null;
             for (String line : Files.readAllLines(root.resolve("deploy/balancer.toml"))) {
                 if (line.startsWith("run = \"")) {
@@ -421,6 +458,21 @@
             note("proxy started");
         }
 
+        private void writeConfig(Discovery discovery) throws IOException {
+            Path written = Files.createTempFile(temp, "config", ".new");
+            Files.writeString(written, "{\"name\":\"n0\",\"listen\":\"" + address + "\",\"discovery\":\""
+                    + discovery.address() + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"cores\":1.0,"
+                    + "\"memory_mb\":192,\"sockets\":" + sockets + "},\"known\":{\"index\":0,"
+                    + "\"snapshot\":true,\"endpoints\":[]},\"settings\":" + settings + "}");
+            Files.move(written, config, StandardCopyOption.REPLACE_EXISTING, StandardCopyOption.ATOMIC_MOVE);
+        }
+
+        /** Replaces the configuration file, with discovery's present address, and sends SIGHUP. */
+        void reconfigure(Discovery discovery) throws IOException {
+            writeConfig(discovery);
+            signal("HUP");
+        }
+
         long pid() {
             return process.pid();
         }
