Move the requests of a client connection into a class of their own

Cause: ClientConnection held 734 lines, among them a nested class for the requests whose responses are pending. Change: that class is PipelinedRequest now, with accessors in place of shared private fields. Nothing else changes.

--- a/src/main/java/passhatch/proxy/ClientConnection.java
+++ b/src/main/java/passhatch/proxy/ClientConnection.java
@@ -52,104 +52,6 @@
      */
     private static final long MAX_UNREAD_US = 200_000;
 
-    /** A request of the connection until its response is written. */
-    private static final class PipelinedRequest implements ProxyLoop.Responder, RequestBody.Source,
-            ResponseStream.Owner {
-        private final ClientConnection connection;
-        private final HttpVersion version;
-        private final RequestBody body;
-        private final boolean keepAlive;
-        /** The request's id; null if the proxy does not process the request, as for {@code /ready}. */
-        private String activeId;
-        /** The complete response; null until there is one, or if it is streamed. */
-        private ProxyResponse response;
-        /** The response, if it is forwarded while it is received from the backend; null otherwise. */
-        private ResponseStream responseStream;
-
-        PipelinedRequest(ClientConnection connection, HttpVersion version, RequestBody body,
-                boolean keepAlive) {
-            this.connection = connection;
-            this.version = version;
-            this.body = body;
-            this.keepAlive = keepAlive;
-        }
-
-        @Override
-        public void respond(ProxyResponse finalResponse) {
-            response = finalResponse;
-            connection.transferBudget().hold(finalResponse.body().length);
-            connection.writeResponses();
-        }
-
-        @Override
-        public BackendPool.ResponseSink startStream(long length, Runnable readOn) {
-            responseStream = new ResponseStream(connection.channel, version, length, readOn, this,
-                    connection.transferBudget());
-            connection.writeResponses();
-            return responseStream;
-        }
-
-        @Override
-        public void streamCompleted() {
-            connection.writeResponses();
-        }
-
-        @Override
-        public void streamFailedBeforeStart() {
-            responseStream = null;
-            respond(ProxyResponse.failed());
-        }
-
-        @Override
-        public void streamFailed() {
-            connection.inputDiscarded = true;
-            connection.channel.close();
-        }
-
-        /**
-         * A client that is still sending the body counts as present: the body must be forwarded before all
-         * of it has been read.
-         */
-        @Override
-        public boolean isClientPresent() {
-            return this == connection.incompleteRequest || !connection.mayHaveMissedClose();
-        }
-
-        @Override
-        public void resumeReading() {
-            connection.scheduleHandling();
-        }
-
-        @Override
-        public void bodyDiscarded() {
-            if (activeId != null) {
-                connection.server.proxy().bodyDiscarded(activeId);
-            }
-        }
-
-        /** The id of the request if the proxy still owes its response; null otherwise. */
-        private String unansweredId() {
-            return response == null && (responseStream == null || !responseStream.isEnded())
-                    ? activeId : null;
-        }
-
-        private void releaseBuffers() {
-            if (body != null) {
-                body.drop();
-            }
-            if (responseStream != null) {
-                responseStream.release();
-            }
-        }
-
-        /** Gives up the response if it was not written. */
-        private void dropResponse() {
-            if (response != null) {
-                connection.transferBudget().release(response.body().length);
-            }
-        }
-    }
-
     private final ClientServer server;
     private final Channel channel;
     private final RequestDecoder decoder = new RequestDecoder();
@@ -191,10 +93,33 @@
         this.connectedAtUs = nowUs;
     }
 
-    private MemoryBudget transferBudget() {
+    /** Limits the bytes of responses that are on their way to clients. */
+    MemoryBudget transferBudget() {
         return server.memory().transfer();
     }
 
+    Channel channel() {
+        return channel;
+    }
+
+    ProxyLoop proxy() {
+        return server.proxy();
+    }
+
+    /** Closes the connection, because the response that is being streamed cannot be completed. */
+    void closeAfterFailedStream() {
+        inputDiscarded = true;
+        channel.close();
+    }
+
+    /**
+     * Whether the client of a request is known to be connected. A client that is still sending the body
+     * counts as present: the body must be forwarded before all of it has been read.
+     */
+    boolean isClientPresent(PipelinedRequest request) {
+        return request == incompleteRequest || !mayHaveMissedClose();
+    }
+
     /** The handlers of the channel's pipeline, from the socket up to and including this one. */
     ChannelHandler[] handlers() {
         return new ChannelHandler[] {new WriteTimeoutHandler(WRITE_TIMEOUT_S), decoder,
@@ -257,8 +182,8 @@
     void close() {
         if (channel.isActive()) {
             requests.stream()
-                    .filter(request -> request.responseStream == null && request.unansweredId() != null)
-                    .forEach(request -> server.proxy().guard().recordClosedUnanswered(request.activeId));
+                    .filter(request -> !request.isStreamed() && request.unansweredId() != null)
+                    .forEach(request -> server.proxy().guard().recordClosedUnanswered(request.activeId()));
         }
         channel.close();
     }
@@ -373,7 +298,7 @@
     /**
      * Handles buffered input in a later task of the event loop, as direct calls would recurse ever deeper.
      */
-    private void scheduleHandling() {
+    void scheduleHandling() {
         if (!handlingScheduled) {
             handlingScheduled = true;
             channel.eventLoop().execute(() -> {
@@ -471,10 +396,10 @@
             } else {
                 PipelinedRequest completed = incompleteRequest;
                 incompleteRequest = null;
-                if (!completed.keepAlive) {
+                if (!completed.isKeepAlive()) {
                     discardFurtherInput();
                 }
-                server.proxy().requestComplete(completed.activeId);
+                server.proxy().requestComplete(completed.activeId());
             }
         } else if (incompleteRequest == null && incoming.body().exceedsBuffer()) {
             acceptRequest(incoming, 0);
@@ -493,7 +418,7 @@
         requests.add(request);
         incoming.body().setSource(request);
         incompleteRequest = complete ? null : request;
-        if (complete && !request.keepAlive) {
+        if (complete && !request.isKeepAlive()) {
             discardFurtherInput();
         }
         try {
@@ -522,10 +447,10 @@
             throw new RequestParser.InvalidRequestException(HttpResponseStatus.SERVICE_UNAVAILABLE,
                     "the memory for responses and streamed bodies is exhausted");
         }
-        request.activeId = proxyRequest.id();
+        request.setActiveId(proxyRequest.id());
         if (!server.proxy().accept(proxyRequest, request)) {
             // The id belongs to another request, which must not be affected by events of this connection.
-            request.activeId = null;
+            request.setActiveId(null);
             throw new RequestParser.InvalidRequestException(HttpResponseStatus.BAD_REQUEST,
                     "X-Request-Id is already in use");
         }
@@ -544,8 +469,8 @@
     public void channelWritabilityChanged(ChannelHandlerContext ctx) {
         scheduleHandling();
         PipelinedRequest first = requests.peek();
-        if (first != null && first.responseStream != null) {
-            first.responseStream.resumeIfWritable();
+        if (first != null && first.isStreamed()) {
+            first.responseStream().resumeIfWritable();
         }
     }
 
@@ -562,17 +487,17 @@
             requests.add(request);
         } else if (request.unansweredId() != null) {
             // The request was not received as the client meant it, so it must not be executed.
-            server.proxy().clientGone(request.activeId);
+            server.proxy().clientGone(request.activeId());
         }
-        if (request.responseStream != null) {
-            request.responseStream.fail();
-        } else if (request.response == null) {
+        if (request.isStreamed()) {
+            request.responseStream().fail();
+        } else if (request.response() == null) {
             request.respond(ProxyResponse.withStatus(status));
         }
     }
 
     /** Writes the responses that are available, up to the first request that has none. */
-    private void writeResponses() {
+    void writeResponses() {
         if (writingResponses) {
             return;
         }
@@ -589,20 +514,20 @@
         boolean nextMayBeWritten = true;
         while (nextMayBeWritten && !requests.isEmpty()) {
             PipelinedRequest request = requests.peek();
-            if (request.response != null) {
+            if (request.response() != null) {
                 requests.poll();
-                int responseBytes = request.response.body().length;
-                writeResponse(request.response, keepsAlive(request))
+                int responseBytes = request.response().body().length;
+                writeResponse(request.response(), keepsAlive(request))
                         .addListener(written -> transferBudget().release(responseBytes));
                 request.releaseBuffers();
-            } else if (request.responseStream != null) {
-                request.responseStream.start(keepsAlive(request));
-                nextMayBeWritten = request.responseStream.isComplete();
+            } else if (request.isStreamed()) {
+                request.responseStream().start(keepsAlive(request));
+                nextMayBeWritten = request.responseStream().isComplete();
                 if (nextMayBeWritten) {
                     requests.poll();
                     lastResponseAtUs = server.nowUs();
-                    ChannelFuture written = request.responseStream.writeLastContent();
-                    if (!request.responseStream.isKeepAlive()) {
+                    ChannelFuture written = request.responseStream().writeLastContent();
+                    if (!request.responseStream().isKeepAlive()) {
                         closeAfter(written);
                     }
                     request.releaseBuffers();
@@ -622,7 +547,7 @@
     private boolean keepsAlive(PipelinedRequest request) {
         boolean isLast = readAhead.isEmpty()
                 && (requests.isEmpty() || requests.size() == 1 && requests.peek() == request);
-        return request.keepAlive && request != incompleteRequest
+        return request.isKeepAlive() && request != incompleteRequest
                 && !(isLast && (requestRejected || server.closesAfterLastResponse()));
     }
 
@@ -704,7 +629,7 @@
     /** Abandons all open requests, answers with 502 if no response has begun, and closes the connection. */
     private void failConnection() {
         boolean canSendResponse = requests.isEmpty() ? !readAhead.isEmpty()
-                : requests.peek().responseStream == null || !requests.peek().responseStream.isStarted();
+                : !requests.peek().hasStartedStream();
         inputDiscarded = true;
         abandonRequests();
         if (canSendResponse) {
