End the wait for a place at the limit of client connections

Cause: at the limit only idle connections were closed for new ones, never those with part of a request or an unread response. Accepting then paused without an end, and what waited in the accept queue had no owner and no clock. One read of the listener accepted 16 connections whatever the limit (198 open of 189).

Change: ClientConnections decides who loses its place, worst first; slow clients that keep to their times do not, and the last fifth of the places goes to clients whose request comes at once. What may have waited 0.4 s is closed unread, and the time in the queue is taken from the deadline (SharedListener). The console closes the call with the least progress. Metrics clients.* and the reason in the log tell these cases apart. Why it works: each wait for the limit now has an end before a response would be late, and no client can hold the last places without a request.

--- a/src/main/java/passhatch/proxy/ClientConnection.java
+++ b/src/main/java/passhatch/proxy/ClientConnection.java
@@ -62,7 +62,10 @@
     private final MinimumReceiveRate receiveRate = new MinimumReceiveRate();
     /** The request that was accepted before its body was complete, while the body is incomplete; or null. */
     private PipelinedRequest incompleteRequest;
+    private final TransferMonitor transfers;
     private final long connectedAtUs;
+    /** How long input that is read first may have waited for the connection to be accepted. */
+    private long queueTimeUs;
     /** When the first bytes arrived of a request that is incomplete; 0 if there is none. */
     private long incompleteSinceUs;
     /** When the last response was written; 0 if none was. */
@@ -84,13 +87,19 @@
     /** Whether the sending side is shut down and the client has not closed its side yet. */
     private boolean lingering;
 
-    /** Creates the handler of a connection that is being established now. */
-    ClientConnection(ClientServer server, Channel channel, long nowUs) {
+    /**
+     * Creates the handler of a connection that has been accepted now.
+     *
+     * @param queueTimeUs the longest time that it can have waited to be accepted, in microseconds
+     */
+    ClientConnection(ClientServer server, Channel channel, Clock clock, long queueTimeUs) {
         this.server = server;
         this.channel = channel;
+        this.transfers = new TransferMonitor(clock);
+        this.queueTimeUs = queueTimeUs;
         this.reader = new RequestReader(server.memory().input());
         this.readAhead = new ReadAheadBuffer(server.memory().input());
-        this.connectedAtUs = nowUs;
+        this.connectedAtUs = clock.nowUs() - queueTimeUs;
     }
 
     /** Limits the bytes of responses that are on their way to clients. */
@@ -122,7 +131,7 @@
 
     /** The handlers of the channel's pipeline, from the socket up to and including this one. */
     ChannelHandler[] handlers() {
-        return new ChannelHandler[] {new WriteTimeoutHandler(WRITE_TIMEOUT_S), decoder,
+        return new ChannelHandler[] {new WriteTimeoutHandler(WRITE_TIMEOUT_S), transfers, decoder,
             new HttpResponseEncoder(), this};
     }
 
@@ -153,6 +162,44 @@
         return hasSentResponse() ? lastResponseAtUs : connectedAtUs;
     }
 
+    /** When its client can have connected at the earliest, in microseconds. */
+    long connectedAtUs() {
+        return connectedAtUs;
+    }
+
+    /** When bytes were last received, in microseconds, or when it was accepted if none were. */
+    long lastReceivedUs() {
+        return transfers.lastReceivedUs();
+    }
+
+    /** Whether its client has accepted no byte of a response for the given time, in microseconds. */
+    boolean isWriteStalled(long nowUs, long limitUs) {
+        return transfers.isWriteStalled(nowUs, limitUs);
+    }
+
+    /** Whether a request on it has been complete, or large enough to be forwarded before that. */
+    boolean hasHadRequest() {
+        return hasSentResponse() || !requests.isEmpty();
+    }
+
+    /** Whether its only open request is incomplete, and no response to it has begun. */
+    boolean isReceivingRequest() {
+        return incompleteSinceUs > 0 && readAhead.isEmpty() && (requests.isEmpty()
+                || requests.size() == 1 && incompleteRequest != null && !incompleteRequest.isStreamed());
+    }
+
+    /** Whether its only open request arrives too slowly to keep a place that others need. */
+    boolean isTooSlowIfContended(long nowUs) {
+        return isReceivingRequest() && !reader.isBodyFull() && receiveRate.isTooSlowIfContended(nowUs,
+                reader.hasIncompleteRequest(), incompleteRequestStartUs());
+    }
+
+    /** When the incomplete request started; the first one starts with the connection. */
+    private long incompleteRequestStartUs() {
+        return hasSentResponse() || !requests.isEmpty() && incompleteRequest == null
+                ? incompleteSinceUs : connectedAtUs;
+    }
+
     /**
      * Closes the connection if it is idle for too long, and rejects a request that is received too slowly.
      * The time for a request counts from its start, or from connecting for the first one, however often a
@@ -163,12 +210,10 @@
      */
     void closeIfStalled(long nowUs, long firstRequestTimeoutUs, long idleTimeoutUs) {
         if (incompleteSinceUs > 0) {
-            long startedAtUs = hasSentResponse() || !requests.isEmpty() && incompleteRequest == null
-                    ? incompleteSinceUs : connectedAtUs;
             if (reader.isBodyFull() || !readAhead.isEmpty()) {
                 receiveRate.readingPaused(nowUs);
             }
-            if (receiveRate.isTooSlow(nowUs, startedAtUs)) {
+            if (receiveRate.isTooSlow(nowUs, incompleteRequestStartUs())) {
                 server.logClientEvent("request refused with 408 Request Timeout: it is received too slowly");
                 rejectRequest(HttpResponseStatus.REQUEST_TIMEOUT);
             }
@@ -193,12 +238,20 @@
         return lingering;
     }
 
-    /** Reads input that has arrived by now, and returns whether the connection is idle after that. */
-    boolean isIdleAfterRead() {
-        if (channel.isActive() && channel.unsafe() instanceof AbstractNioChannel.NioUnsafe unsafeChannel) {
+    /** Reads input that has arrived by now, unless it would be discarded. */
+    void readUnlessLingering() {
+        if (!lingering && channel.isActive()
+                && channel.unsafe() instanceof AbstractNioChannel.NioUnsafe unsafeChannel) {
             unsafeChannel.read();
         }
-        return isIdle();
+    }
+
+    /** Closes the connection for a new one. A request that has arrived in part is answered with 408. */
+    void evict() {
+        if (isReceivingRequest()) {
+            rejectRequest(HttpResponseStatus.REQUEST_TIMEOUT);
+        }
+        close();
     }
 
     /**
@@ -206,7 +259,8 @@
      * lost, and its client would have to send it again.
      */
     void closeIfIdle() {
-        if (!isIdleAfterRead()) {
+        readUnlessLingering();
+        if (!isIdle()) {
             return;
         }
         if (hasSentResponse()) {
@@ -268,7 +322,7 @@
             discardPart(part);
             return;
         }
-        readAhead.add(part, server.nowUs());
+        readAhead.add(part, server.nowUs() - queueTimeUs);
         if (readAhead.isFull()) {
             channel.config().setAutoRead(false);
             unreadSinceUs = unreadSinceUs == 0 ? server.nowUs() : unreadSinceUs;
@@ -277,6 +331,7 @@
 
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
+        queueTimeUs = 0;
         clearUnreadUnlessFull();
         updateIncompleteSince();
         scheduleHandling();
@@ -380,7 +435,7 @@
             return;
         }
         if (part instanceof HttpRequest) {
-            receiveRate.requestStarted();
+            receiveRate.headCompleted(server.nowUs());
             if (requests.isEmpty() && reader.isAwaitingContinue(part)) {
                 channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
                         HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
@@ -392,26 +447,26 @@
         if (incoming.body().isComplete()) {
             incompleteSinceUs = 0;
             if (incompleteRequest == null) {
-                acceptRequest(incoming, server.nowUs() - receivedAtUs);
+                acceptRequest(incoming, receivedAtUs);
             } else {
                 PipelinedRequest completed = incompleteRequest;
                 incompleteRequest = null;
                 if (!completed.isKeepAlive()) {
                     discardFurtherInput();
                 }
-                server.proxy().requestComplete(completed.activeId());
+                server.proxy().requestComplete(completed.activeId(), server.waitedUs(receivedAtUs));
             }
         } else if (incompleteRequest == null && incoming.body().exceedsBuffer()) {
-            acceptRequest(incoming, 0);
+            acceptRequest(incoming, receivedAtUs);
         }
     }
 
     /**
      * Accepts a request that is complete, or whose body is too long to be buffered until it is.
      *
-     * @param waitedUs how long its last part has been buffered, in microseconds
+     * @param receivedAtUs when its last part was received, in microseconds
      */
-    private void acceptRequest(RequestReader.IncomingRequest incoming, long waitedUs) {
+    private void acceptRequest(RequestReader.IncomingRequest incoming, long receivedAtUs) {
         boolean complete = incoming.body().isComplete();
         PipelinedRequest request = new PipelinedRequest(this, incoming.head().protocolVersion(),
                 incoming.body(), HttpUtil.isKeepAlive(incoming.head()));
@@ -422,7 +477,7 @@
             discardFurtherInput();
         }
         try {
-            dispatchRequest(request, incoming, waitedUs);
+            dispatchRequest(request, incoming, receivedAtUs);
         } catch (RequestParser.InvalidRequestException invalid) {
             server.logClientEvent("request refused with " + invalid.status() + ": " + invalid.getMessage());
             if (complete) {
@@ -435,13 +490,13 @@
 
     /** Answers {@code /ready}, and passes any other request to the proxy. */
     private void dispatchRequest(PipelinedRequest request, RequestReader.IncomingRequest incoming,
-            long waitedUs) throws RequestParser.InvalidRequestException {
+            long receivedAtUs) throws RequestParser.InvalidRequestException {
         if (incoming.head().method().equals(HttpMethod.GET) && incoming.head().uri().equals("/ready")) {
             request.respond(ProxyResponse.withStatus(server.isReady() ? HttpResponseStatus.OK
                     : HttpResponseStatus.SERVICE_UNAVAILABLE));
             return;
         }
-        ProxyRequest proxyRequest = server.parse(incoming, waitedUs);
+        ProxyRequest proxyRequest = server.parse(incoming, receivedAtUs);
         if (transferBudget().isExhausted()) {
             server.proxy().refuseForMemory(proxyRequest);
             throw new RequestParser.InvalidRequestException(HttpResponseStatus.SERVICE_UNAVAILABLE,
--- a/src/main/java/passhatch/proxy/ClientServer.java
+++ b/src/main/java/passhatch/proxy/ClientServer.java
@@ -9,11 +9,9 @@
 import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioChannelOption;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
-import java.util.LinkedHashSet;
-import java.util.List;
-import java.util.Set;
 import passhatch.proxy.EventLog.Kind;
 
 /**
@@ -35,10 +33,11 @@
     private static final double KEEP_ALIVE_MAX_FRACTION = 0.6;
     /** While the proxy is draining, a connection on which no request begins is closed after this long. */
     private static final long DRAINING_FIRST_REQUEST_TIMEOUT_US = 500_000;
-    /** Idle time after which a connection that has served a request may be evicted for a new one. */
-    private static final long MIN_IDLE_BEFORE_EVICTION_US = 2_000_000;
-    /** A client that has a request to send delivers its first bytes within this time of connecting. */
-    private static final long NEW_CONNECTION_GRACE_US = 100_000;
+    /**
+     * Connections that may have waited for this long to be accepted are closed instead. A response may be up
+     * to 0.5 s late, so even a request with hardly any time left gets a close by then.
+     */
+    private static final long MAX_QUEUE_TIME_US = 400_000;
     /** How often the event loop measures its own delay. */
     private static final long LOOP_CHECK_INTERVAL_US = 10_000;
     /** Delays up to this are ignored, as timers commonly fire a millisecond or two late. */
@@ -51,21 +50,21 @@
     private final EventLog log;
     private final RequestParser parser;
     private final ProxyLoop proxy;
-    private int maxConnections;
     private final ProxyMemory memory;
     private final DrainState drainState;
-    /** Open connections in the order of connecting. */
-    private final Set<ClientConnection> connections = new LinkedHashSet<>();
+    private final ClientConnections connections;
     /** Null until the server listens. */
     private SharedListener listener;
     private long nextLoopCheckUs;
     /** Delay of the event loop found by the last check. */
     private long lastLoopDelayUs;
+    /** Number of connections that were closed in the accept queue. */
+    private long closedUnread;
 
     /**
      * Creates a server that does not listen yet.
      *
-     * @param maxConnections maximum number of open connections; beyond it an idle one is closed for a new one
+     * @param maxConnections maximum number of open connections; at the limit one is closed for a new one
      * @param memory limits the memory for client input and for responses
      */
     ClientServer(EventLoop loop, Clock clock, EventLog log, RequestParser parser, ProxyLoop proxy,
@@ -75,7 +74,7 @@
         this.log = log;
         this.parser = parser;
         this.proxy = proxy;
-        this.maxConnections = maxConnections;
+        this.connections = new ClientConnections(log, maxConnections);
         this.memory = memory;
         this.drainState = drainState;
         this.nextLoopCheckUs = clock.nowUs();
@@ -91,7 +90,8 @@
      * @param shared whether other processes may listen at the same address (SO_REUSEPORT)
      */
     ChannelFuture listen(InetSocketAddress address, boolean shared) {
-        ServerBootstrap bootstrap = new ServerBootstrap().group(loop).channelFactory(SharedListener::new)
+        ServerBootstrap bootstrap = new ServerBootstrap().group(loop)
+                .channelFactory(() -> new SharedListener(clock, connections::freePlaces))
                 .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.SO_SNDBUF, BackendPool.SEND_BUFFER_BYTES)
@@ -101,8 +101,8 @@
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
-                        channel.pipeline().addLast(new ClientConnection(ClientServer.this, channel,
-                                clock.nowUs()).handlers());
+                        channel.pipeline().addLast(new ClientConnection(ClientServer.this, channel, clock,
+                                SharedListener.queueTimeUs(channel)).handlers());
                     }
                 });
         if (shared) {
@@ -128,10 +128,10 @@
         return listener != null && listener.isActive();
     }
 
-    /** Changes the maximum number of open connections and closes idle ones beyond it. */
+    /** Changes the maximum number of open connections and closes those beyond it that may be closed. */
     void setMaxConnections(int newMaximum) {
-        maxConnections = newMaximum;
-        evictExcessConnections();
+        connections.setMaximum(newMaximum);
+        makePlace();
     }
 
     /** Stops listening. Open connections and those already in the accept queue are served further. */
@@ -153,7 +153,7 @@
 
     /**
      * Whether a client's first request may be on its way: on a connection that is still in the accept queue,
-     * or on one that was established less than {@link #NEW_CONNECTION_GRACE_US} ago.
+     * or on one that was established less than {@link #ClientConnections.NEW_CONNECTION_GRACE_US} ago.
      */
     boolean mayHaveUnreadRequests() {
         long nowUs = clock.nowUs();
@@ -163,7 +163,7 @@
 
     private static boolean isNewlyConnected(ClientConnection connection, long nowUs) {
         return connection.isIdle() && !connection.hasSentResponse()
-                && nowUs - connection.idleSinceUs() < NEW_CONNECTION_GRACE_US;
+                && nowUs - connection.idleSinceUs() < ClientConnections.NEW_CONNECTION_GRACE_US;
     }
 
     /**
@@ -172,7 +172,7 @@
      */
     void closeIdleConnections() {
         long nowUs = clock.nowUs();
-        List.copyOf(connections).stream()
+        connections.snapshot().stream()
                 .filter(connection -> connection.isIdle() && !isNewlyConnected(connection, nowUs))
                 .forEach(ClientConnection::closeIfIdle);
     }
@@ -202,68 +202,46 @@
 
     // ---- connections
 
-    /** Registers a new connection, and closes idle ones if too many are open. */
+    /** Registers a new connection, and makes a place for the next one. */
     void connectionOpened(ClientConnection connection) {
         connections.add(connection);
-        evictExcessConnections();
+        makePlace();
     }
 
     /** Removes a closed connection, and accepts new ones again if that was paused. */
     void connectionClosed(ClientConnection connection) {
         connections.remove(connection);
-        evictExcessConnections();
+        makePlace();
     }
 
     /**
-     * Guards against running out of file descriptors: when the maximum number of connections is reached,
-     * closes connections without an open request. If none can be closed, accepting pauses until one can; new
-     * clients wait in the system's accept queue meanwhile.
+     * Guards against running out of file descriptors: at the maximum number of connections, one is closed for
+     * the next new one. If none may be closed, accepting pauses, and new clients wait in the system's accept
+     * queue for at most {@link #MAX_QUEUE_TIME_US}.
      */
-    private void evictExcessConnections() {
-        long nowUs = clock.nowUs();
-        while (connections.size() >= maxConnections) {
-            ClientConnection candidate = findEvictionCandidate(nowUs);
-            if (candidate == null) {
-                break;
-            }
-            if (!candidate.isLingering() && !candidate.isIdleAfterRead()) {
-                continue;
-            }
-            log.line(Kind.EVICTION, connections.size()
-                    + " client connections are open, which is the maximum: closing an idle one");
-            connections.remove(candidate);
-            candidate.close();
-        }
+    private void makePlace() {
+        connections.evictUntilPlaceIsFree(clock.nowUs());
         if (listener != null && listener.isOpen()) {
-            listener.config().setAutoRead(connections.size() < maxConnections);
+            listener.setAccepting(connections.freePlaces() > 0);
         }
     }
 
-    /**
-     * Returns the connection to evict: the oldest that is lingering, or has not sent a request although it
-     * had the time to; otherwise the one that has been idle longest, unless its client may be about to send
-     * its next request. Null if there is none.
-     */
-    private ClientConnection findEvictionCandidate(long nowUs) {
-        ClientConnection longestIdle = null;
-        for (ClientConnection connection : connections) {
-            if (connection.isLingering()) {
-                return connection;
-            }
-            if (!connection.isIdle()) {
-                continue;
-            }
-            long idleUs = nowUs - connection.idleSinceUs();
-            if (!connection.hasSentResponse()) {
-                if (idleUs >= NEW_CONNECTION_GRACE_US) {
-                    return connection;
-                }
-            } else if (idleUs >= MIN_IDLE_BEFORE_EVICTION_US
-                    && (longestIdle == null || connection.idleSinceUs() < longestIdle.idleSinceUs())) {
-                longestIdle = connection;
+    /** Closes the connections that may have waited too long to be accepted. */
+    private void closeOverdueQueue() {
+        if (listener == null || !listener.isActive() || listener.queueTimeUs() < MAX_QUEUE_TIME_US) {
+            return;
+        }
+        try {
+            int closed = listener.closeQueued(ACCEPT_BACKLOG);
+            closedUnread += closed;
+            if (closed > 0) {
+                log.line(Kind.EVICTION, closed + " new connections were closed unread: no connection could be"
+                        + " closed for them in time");
             }
+        } catch (IOException e) {
+            log.line(Kind.EVICTION, "new connections cannot be accepted: " + e.getMessage());
         }
-        return longestIdle;
+        makePlace();
     }
 
     /** Checks all connections for being idle or stalled. */
@@ -273,9 +251,10 @@
         long firstRequestTimeoutUs = closesIdle ? DRAINING_FIRST_REQUEST_TIMEOUT_US
                 : FIRST_REQUEST_TIMEOUT_US;
         long idleTimeoutUs = closesIdle ? 0 : IDLE_TIMEOUT_US;
-        List.copyOf(connections).forEach(connection ->
+        connections.snapshot().forEach(connection ->
                 connection.closeIfStalled(nowUs, firstRequestTimeoutUs, idleTimeoutUs));
-        evictExcessConnections();
+        makePlace();
+        closeOverdueQueue();
     }
 
     // ---- called by connections
@@ -290,14 +269,19 @@
     }
 
     /**
-     * Parses a request. The time that it has been waiting unread is subtracted from its deadline, unless its
-     * body is incomplete: then its time counts from its last byte.
+     * Parses a request. The time that it has been waiting is subtracted from its deadline, unless its body is
+     * incomplete: then its time counts from its last byte.
      *
-     * @param waitedUs how long it has waited behind others of its connection, in microseconds
+     * @param receivedAtUs when its last byte was received at the earliest, in microseconds
      */
-    ProxyRequest parse(RequestReader.IncomingRequest incoming, long waitedUs)
+    ProxyRequest parse(RequestReader.IncomingRequest incoming, long receivedAtUs)
             throws RequestParser.InvalidRequestException {
-        return parser.parse(incoming, incoming.body().isComplete() ? Math.max(waitedUs, maxUnreadUs()) : 0);
+        return parser.parse(incoming, incoming.body().isComplete() ? waitedUs(receivedAtUs) : 0);
+    }
+
+    /** How long input that was received at the given time may have been waiting for this process. */
+    long waitedUs(long receivedAtUs) {
+        return Math.max(clock.nowUs() - receivedAtUs, maxUnreadUs());
     }
 
     /** Whether {@code /ready} is answered with 200. */
@@ -312,7 +296,7 @@
      */
     boolean closesAfterLastResponse() {
         return drainState.closesAfterResponse()
-                || connections.size() > maxConnections * KEEP_ALIVE_MAX_FRACTION;
+                || connections.isAboveFraction(KEEP_ALIVE_MAX_FRACTION);
     }
 
     /** The time in microseconds of the proxy's clock. */
@@ -320,6 +304,12 @@
         return clock.nowUs();
     }
 
+    /** Adds the metrics of client connections. */
+    void addMetrics(Metrics.Sink sink) {
+        connections.addMetrics(sink);
+        sink.add("clients.closed_unread", closedUnread);
+    }
+
     /** Logs an error caused by a client. */
     void logClientEvent(String message) {
         log.line(Kind.CLIENT, message);
--- a/src/main/java/passhatch/proxy/Console.java
+++ b/src/main/java/passhatch/proxy/Console.java
@@ -23,6 +23,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.Comparator;
 import java.util.LinkedHashSet;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -31,7 +32,7 @@
 /**
  * HTTP server for operators, with one request per connection. Clients that keep connections open without a
  * complete request cannot lock operators out: such a connection times out, and if there are too many
- * connections, the oldest is closed, preferably one that is not waiting for its response.
+ * connections, one is closed: one that has its response, else the one whose request makes least progress.
  */
 final class Console {
 
@@ -45,14 +46,16 @@
     private static final long CLOSE_DELAY_MS = 500;
 
     private final EventLoop loop;
+    private final Clock clock;
     private final EventLog log;
     private final ConsoleRoutes routes;
     /** Open connections, oldest first. */
     private final Set<Connection> connections = new LinkedHashSet<>();
     private Channel listener;
 
-    Console(EventLoop loop, EventLog log, ConsoleRoutes routes) {
+    Console(EventLoop loop, Clock clock, EventLog log, ConsoleRoutes routes) {
         this.loop = loop;
+        this.clock = clock;
         this.log = log;
         this.routes = routes;
     }
@@ -71,8 +74,9 @@
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
-                        channel.pipeline().addLast(new HttpServerCodec(),
-                                new HttpObjectAggregator(MAX_BODY_BYTES), new Connection(channel));
+                        Connection connection = new Connection(channel);
+                        channel.pipeline().addLast(connection.transfers, new HttpServerCodec(),
+                                new HttpObjectAggregator(MAX_BODY_BYTES), connection);
                     }
                 }).bind(address).await();
         if (!bound.isSuccess()) {
@@ -91,19 +95,26 @@
 
     private void evictExcessConnections() {
         while (connections.size() > MAX_CONNECTIONS) {
-            Connection evicted = connections.stream().filter(c -> c.state != State.PROCESSING).findFirst()
-                    .orElseGet(() -> connections.iterator().next());
+            Connection evicted = findEvictionCandidate();
             connections.remove(evicted);
             evicted.channel.close();
         }
     }
 
+    private Connection findEvictionCandidate() {
+        return connections.stream().filter(c -> c.state == State.RESPONDED).findFirst()
+                .or(() -> connections.stream().filter(c -> c.state == State.AWAITING_REQUEST)
+                        .min(Comparator.comparingLong(c -> c.transfers.lastReceivedUs())))
+                .orElseGet(() -> connections.iterator().next());
+    }
+
     /** State of a connection. */
     private enum State { AWAITING_REQUEST, PROCESSING, RESPONDED }
 
     /** One connection and its request. */
     private final class Connection extends SimpleChannelInboundHandler<FullHttpRequest> {
         private final SocketChannel channel;
+        private final TransferMonitor transfers = new TransferMonitor(clock);
         private State state = State.AWAITING_REQUEST;
 
         Connection(SocketChannel channel) {
--- a/src/main/java/passhatch/proxy/MinimumReceiveRate.java
+++ b/src/main/java/passhatch/proxy/MinimumReceiveRate.java
@@ -13,12 +13,19 @@
     private static final long MIN_BYTES_PER_SECOND = 16_000;
     /** A burst of bytes extends the time for the next ones by at most this. */
     private static final long MAX_CREDIT_US = 1_000_000;
+    /** Time for a head while others need the connection's place: slow clients take up to 2 s for one. */
+    private static final long CONTENDED_HEAD_TIME_US = 2_300_000;
+    /** Time from the head to the first bytes of the body while others need the connection's place. */
+    private static final long CONTENDED_BODY_DELAY_US = 300_000;
 
     private long creditUntilUs;
+    /** When the head of the request was complete. */
+    private long headCompleteUs;
 
-    /** Discards the credit of the previous request. */
-    void requestStarted() {
+    /** Notes that the head of a request is complete, and discards the credit of the previous request. */
+    void headCompleted(long nowUs) {
         creditUntilUs = 0;
+        headCompleteUs = nowUs;
     }
 
     /** Extends the time allowed for the request according to the number of bytes received. */
@@ -36,4 +43,16 @@
     boolean isTooSlow(long nowUs, long startedAtUs) {
         return nowUs > Math.max(startedAtUs + GRACE_PERIOD_US, creditUntilUs);
     }
+
+    /**
+     * Whether a request is received too slowly to keep its connection while others need the place. The
+     * minimum rate then applies to a body from its first byte on.
+     *
+     * @param headComplete whether its head is complete
+     * @param startedAtUs when the request started
+     */
+    boolean isTooSlowIfContended(long nowUs, boolean headComplete, long startedAtUs) {
+        return nowUs > (headComplete ? Math.max(headCompleteUs + CONTENDED_BODY_DELAY_US, creditUntilUs)
+                : startedAtUs + CONTENDED_HEAD_TIME_US);
+    }
 }
--- a/src/main/java/passhatch/proxy/ProxyLoop.java
+++ b/src/main/java/passhatch/proxy/ProxyLoop.java
@@ -21,6 +21,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import passhatch.Balancer;
 import passhatch.Balancer.Actions;
 import passhatch.Balancer.DiscoveryFailure;
@@ -172,10 +173,14 @@
         return readiness;
     }
 
-    /** The current metrics as text, one per line. */
-    String counters() {
+    /**
+     * The current metrics as text, one per line.
+     *
+     * @param clientMetrics adds the metrics of client connections
+     */
+    String counters(Consumer<Metrics.Sink> clientMetrics) {
         return metrics.text(pendingRequests - incompleteRequests, balancer.serverCounts(clock.nowUs()),
-                List.of(discovery.calls()::addMetrics, guard::metrics, memory::addMetrics));
+                List.of(discovery.calls()::addMetrics, guard::metrics, memory::addMetrics, clientMetrics));
     }
 
     /** Whether any list from discovery has ever named the backend, or an operator has disabled it. */
@@ -337,9 +342,11 @@
 
     /**
      * Called when the last byte of a request has arrived that was accepted before it was complete. Its
-     * client's time-out counts from now.
+     * client's time-out counts from then.
+     *
+     * @param waitedUs how long that byte has been waiting to be handled, in microseconds
      */
-    void requestComplete(String id) {
+    void requestComplete(String id, long waitedUs) {
         Exchange exchange = exchanges.get(id);
         if (exchange == null || !exchange.incomplete) {
             return;
@@ -349,7 +356,7 @@
             return;
         }
         long nowUs = clock.nowUs();
-        exchange.deadlineUs = nowUs + exchange.request.timeLeftUs() - RESPONSE_MARGIN_US;
+        exchange.deadlineUs = nowUs - waitedUs + exchange.request.timeLeftUs() - RESPONSE_MARGIN_US;
         startFallbackTimer(exchange);
         for (Attempt attempt : exchange.attempts) {
             if (attempt.outcome == null) {
--- a/src/main/java/passhatch/proxy/ProxyServer.java
+++ b/src/main/java/passhatch/proxy/ProxyServer.java
@@ -238,7 +238,7 @@
                 backendPool::closeStale);
         proxy = new ProxyLoop(loop, clock, log, config, backendPool, moduleFactory, memory);
         drainState = new DrainState(loop);
-        console = new Console(loop, log, new ConsoleRoutes(new ConsoleOperations()));
+        console = new Console(loop, clock, log, new ConsoleRoutes(new ConsoleOperations()));
         clientServer = new ClientServer(loop, clock, log, new RequestParser(config), proxy, clientDescriptors,
                 memory, drainState);
         if (config.console() != null) {
@@ -307,7 +307,7 @@
 
         @Override
         public String counters() {
-            return proxy.counters();
+            return proxy.counters(clientServer::addMetrics);
         }
 
         @Override
