--- /dev/null
+++ b/src/main/java/passhatch/proxy/Exchange.java
@@ -0,0 +1,65 @@
+package passhatch.proxy;
+
+import io.netty.util.concurrent.Future;
+import java.util.ArrayList;
+import java.util.List;
+import passhatch.Balancer.Outcome;
+import passhatch.proxy.BackendPool.Handle;
+import passhatch.proxy.BackendPool.ResponseSink;
+
+/** A request, from when it is accepted to the end of its last attempt. */
+final class Exchange {
+    final ProxyRequest request;
+    final ProxyLoop.Responder responder;
+    final List<Attempt> attempts = new ArrayList<>(2);
+    /** When its final response is due here, some time before its client's time-out. */
+    long deadlineUs;
+    /** Whether its body has not been received completely. */
+    boolean incomplete;
+    Future<?> fallbackTimer;
+    /** Whether it needs no response any more; with a streamed response, whether that has ended. */
+    boolean responded;
+    /** The attempt whose response is streamed to the client, or null. */
+    Attempt streamedAttempt;
+    long streamStartedAtUs;
+    ResponseSink sink;
+
+    Exchange(ProxyRequest request, ProxyLoop.Responder responder, long deadlineUs) {
+        this.request = request;
+        this.responder = responder;
+        this.deadlineUs = deadlineUs;
+    }
+
+    /** Servers and outcomes of its attempts so far, as the end of a log line. */
+    String describeAttempts() {
+        StringBuilder text = new StringBuilder(" after");
+        for (Attempt attempt : attempts) {
+            text.append(' ').append(attempt.server).append('=')
+                    .append(attempt.outcome == null ? "OUT" : attempt.outcome);
+        }
+        return attempts.isEmpty() ? " before any attempt" : text.toString();
+    }
+
+    /** Whether any attempt may have run, as far as the outcomes prove. */
+    boolean mayHaveRun() {
+        return attempts.stream().anyMatch(a -> a.outcome == null || !a.outcome.provesNotRun);
+    }
+
+    /** An attempt of a request. */
+    static final class Attempt {
+        final int number;
+        final String server;
+        /** When it was sent, or when the last byte of the request arrived if that was later. */
+        long sentAtUs;
+        /** Null if it was never sent. */
+        Handle handle;
+        /** Null while it is in flight. */
+        Outcome outcome;
+
+        Attempt(int number, String server, long sentAtUs) {
+            this.number = number;
+            this.server = server;
+            this.sentAtUs = sentAtUs;
+        }
+    }
+}
--- a/src/main/java/passhatch/proxy/ProxyLoop.java
+++ b/src/main/java/passhatch/proxy/ProxyLoop.java
@@ -10,11 +10,9 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpVersion;
-import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -38,6 +36,7 @@
 import passhatch.proxy.BackendPool.Result;
 import passhatch.proxy.BackendPool.Target;
 import passhatch.proxy.EventLog.Kind;
+import passhatch.proxy.Exchange.Attempt;
 import passhatch.proxy.SendGuard.WriteConditions;
 
 /**
@@ -79,46 +78,6 @@
         boolean isClientPresent();
     }
 
-    /**
-     * A backend process at its address. It is kept from when it is listed until it is off the list and has no
-     * attempt or probe in flight.
-     */
-    private static final class Backend {
-        final Target target;
-        final long startedAtUs;
-        /** Whether discovery lists it as up, so neither draining nor removed. */
-        boolean available;
-        /** When it stopped being available; {@link Long#MAX_VALUE} if it is or never was available. */
-        long unavailableSinceUs = Long.MAX_VALUE;
-        boolean listed = true;
-        /** Number of attempts and probes in flight. */
-        int inFlight;
-
-        Backend(Target target, long startedAtUs) {
-            this.target = target;
-            this.startedAtUs = startedAtUs;
-        }
-
-        void setAvailable(boolean isAvailable, long nowUs) {
-            if (isAvailable) {
-                unavailableSinceUs = Long.MAX_VALUE;
-            } else if (available) {
-                unavailableSinceUs = nowUs;
-            }
-            available = isAvailable;
-        }
-
-        /** How long it has been unavailable, in microseconds; -1 if it is or never was available. */
-        long unavailableForUs(long nowUs) {
-            return unavailableSinceUs == Long.MAX_VALUE ? -1 : nowUs - unavailableSinceUs;
-        }
-
-        /** Whether the id, address and start time given are those of this process. */
-        boolean isSameProcess(Target otherTarget, long otherStartedAtUs) {
-            return target.equals(otherTarget) && startedAtUs == otherStartedAtUs;
-        }
-    }
-
     private final EventLoop loop;
     private final Clock clock;
     private final EventLog log;
@@ -728,61 +687,4 @@
             exchanges.remove(exchange.request.id(), exchange);
         }
     }
-
-    /** A request, from when it is accepted to the end of its last attempt. */
-    private static final class Exchange {
-        final ProxyRequest request;
-        final Responder responder;
-        final List<Attempt> attempts = new ArrayList<>(2);
-        /** When its final response is due here, {@link #RESPONSE_MARGIN_US} before its client's time-out. */
-        long deadlineUs;
-        /** Whether its body has not been received completely. */
-        boolean incomplete;
-        Future<?> fallbackTimer;
-        /** Whether it needs no response any more; with a streamed response, whether that has ended. */
-        boolean responded;
-        /** The attempt whose response is streamed to the client, or null. */
-        Attempt streamedAttempt;
-        long streamStartedAtUs;
-        ResponseSink sink;
-
-        Exchange(ProxyRequest request, Responder responder, long deadlineUs) {
-            this.request = request;
-            this.responder = responder;
-            this.deadlineUs = deadlineUs;
-        }
-
-        /** Servers and outcomes of its attempts so far, as the end of a log line. */
-        String describeAttempts() {
-            StringBuilder text = new StringBuilder(" after");
-            for (Attempt attempt : attempts) {
-                text.append(' ').append(attempt.server).append('=')
-                        .append(attempt.outcome == null ? "OUT" : attempt.outcome);
-            }
-            return attempts.isEmpty() ? " before any attempt" : text.toString();
-        }
-
-        /** Whether any attempt may have run, as far as the outcomes prove. */
-        boolean mayHaveRun() {
-            return attempts.stream().anyMatch(a -> a.outcome == null || !a.outcome.provesNotRun);
-        }
-    }
-
-    /** An attempt of a request. */
-    private static final class Attempt {
-        final int number;
-        final String server;
-        /** When it was sent, or when the last byte of the request arrived if that was later. */
-        long sentAtUs;
-        /** Null if it was never sent. */
-        Handle handle;
-        /** Null while it is in flight. */
-        Outcome outcome;
-
-        Attempt(int number, String server, long sentAtUs) {
-            this.number = number;
-            this.server = server;
-            this.sentAtUs = sentAtUs;
-        }
-    }
 }
