Read metrics above 2 GiB in ConsoleTest, and send long responses without copies in ClientLimitTest

Change: the test reads a long and limits it to the greatest int; all values that it compares are small, so each check is as strict as before. ClientLimitTest writes one shared array in place of a new string for each response.

--- a/src/test/java/passhatch/proxy/ClientLimitTest.java
+++ b/src/test/java/passhatch/proxy/ClientLimitTest.java
@@ -41,7 +41,7 @@
     private static final int DEADLINE_MS = 900;
     /** A final response may come 0.5 s after the deadline, and every limit is 50 ms longer. */
     private static final int MAX_WAIT_MS = DEADLINE_MS + 550;
-    private static final int LONG_RESPONSE_BYTES = 8_000_000;
+    private static final byte[] LONG_RESPONSE = new byte[8_000_000];
     private static final int REQUESTS_IN_SHUTDOWN = 20;
     private static final int QUEUED_MS = 300;
     private static final int MAX_QUEUE_MS = 400;
@@ -88,8 +88,12 @@
             if (request.startLine().contains("/held")) {
                 heldReleased.await();
             }
-            connection.respond("200 OK", request.startLine().contains("/long")
-                    ? "x".repeat(LONG_RESPONSE_BYTES) : request.header("X-Request-Id"));
+            if (request.startLine().contains("/long")) {
+                connection.write("HTTP/1.1 200 OK\r\nContent-Length: " + LONG_RESPONSE.length + "\r\n\r\n");
+                connection.write(LONG_RESPONSE);
+            } else {
+                connection.respond("200 OK", request.header("X-Request-Id"));
+            }
         });
         rig.start(Rig.entry("s", backend.address(), "SERVING"));
     }
--- a/src/test/java/passhatch/proxy/ConsoleTest.java
+++ b/src/test/java/passhatch/proxy/ConsoleTest.java
@@ -60,11 +60,16 @@
         return callConsole(methodAndPath).status();
     }
 
+    /** The value of a metric; bytes of the heap may be more than an int holds. */
+    private static int toInt(String value) {
+        return (int) Math.min(Integer.MAX_VALUE, Long.parseLong(value));
+    }
+
     private Map<String, Integer> counters() throws IOException {
         Map<String, Integer> metrics = new HashMap<>();
         callConsole("GET /control/counters").text().lines().map(line -> line.split("="))
                 .forEach(nameAndValue -> metrics.put(nameAndValue[0].replace("edge_proxy.", ""),
-                        Integer.parseInt(nameAndValue[1])));
+                        toInt(nameAndValue[1])));
         return metrics;
     }
 
