Keep an error in the handling of one request from dropping what others are owed

Cause: a request whose streamed response was complete, with another attempt still out, kept the handle of the ended attempt; terminateAll took it for a response in progress, and abortIfStalled looked at a connection whose reader had been replaced. The NullPointerException ended the loop and the task, which ran once, and nothing else owned the final responses of the requests behind it.

Change: requests that have their response are passed over, and ended attempts and requests let go of their handle and connection, so the state that threw is gone. FailureIsolation runs the work for one of many apart, logs what it throws, and lets a recovery settle what it owed: responses, input, checks of connections, attempts, steps of the shutdown, events, queued calls and timer of the module, lists and calls of discovery, callers of the console.

--- a/src/main/java/passhatch/LeastLoadedBalancer.java
+++ b/src/main/java/passhatch/LeastLoadedBalancer.java
@@ -1309,6 +1309,29 @@
                         + settings.tickUs(), Math::min);
     }
 
+    /** Dispatches a queued call; if that throws, the call fails, and the others are handled as before. */
+    private void dispatchQueued(long nowUs, Call call) {
+        if (!runApart(call, () -> dispatch(nowUs, call))) {
+            queue.remove(call);
+            if (!call.ended && call.committedAttempt == null) {
+                call.ended = true;
+                actions.fail(call.request.id());
+            }
+            removeIfUnused(call);
+        }
+    }
+
+    /** Does work for one call among others; logs what it throws, and returns false then. */
+    private boolean runApart(Call call, Runnable work) {
+        try {
+            work.run();
+            return true;
+        } catch (RuntimeException | Error thrown) {
+            actions.log("BUG: handling request " + call.request.id() + " has thrown " + thrown);
+            return false;
+        }
+    }
+
     /** Offers a server whose state changed to the queued calls. */
     private void offerToQueue(long nowUs, ServerState server) {
         queue.offer(MAX_DECLINED_OFFERS,
@@ -1316,7 +1339,7 @@
                         && AttemptRules.isAllowedOn(settings.classes().get(requestClass), server),
                 call -> AttemptRules.isEligible(call, server),
                 call -> server.isAvailable(nowUs) && hasCapacityFor(nowUs, call, server),
-                call -> dispatch(nowUs, call));
+                call -> dispatchQueued(nowUs, call));
     }
 
     /**
@@ -1324,11 +1347,11 @@
      * for them, or they may have too little time left.
      */
     private void checkQueue(long nowUs) {
-        queue.findAll(call -> hasTooLittleTime(nowUs, call)).forEach(call -> dispatch(nowUs, call));
+        queue.findAll(call -> hasTooLittleTime(nowUs, call)).forEach(call -> dispatchQueued(nowUs, call));
         servers.stream().filter(server -> server.nextStateChangeUs(lastQueueCheckUs) <= nowUs)
                 .forEach(server -> offerToQueue(nowUs, server));
         queue.offer(MAX_DECLINED_OFFERS, lane -> true, call -> true, call -> true,
-                call -> dispatch(nowUs, call));
+                call -> dispatchQueued(nowUs, call));
         lastQueueCheckUs = nowUs;
         nextQueueCheckUs = queueCheckDueUs(nowUs);
     }
@@ -1351,8 +1374,10 @@
             Attempt oldest = sentAttempts.poll();
             if (oldest.isAwaitingResponse()) {
                 oldest.overdue = true;
-                recordTimeout(nowUs, oldest.server);
-                hedge(nowUs, oldest.call);
+                runApart(oldest.call, () -> {
+                    recordTimeout(nowUs, oldest.server);
+                    hedge(nowUs, oldest.call);
+                });
             }
         }
         if (!sentAttempts.isEmpty()) {
@@ -1365,7 +1390,7 @@
             // While a probe is in flight, these calls go only to a server that has reported to be idle.
             if (!usesLoadReports(nowUs) || !hasProbeInFlight(nowUs)
                     || changedServer != null && isReportedIdle(nowUs, changedServer)) {
-                dispatch(nowUs, call);
+                dispatchQueued(nowUs, call);
             }
         }
         if (changedServer != null) {
@@ -1376,7 +1401,7 @@
             checkQueue(nowUs);
         }
         for (Call call = queue.firstDue(nowUs); call != null; call = queue.firstDue(nowUs)) {
-            dispatch(nowUs, call);
+            dispatchQueued(nowUs, call);
         }
         scheduleWakeUp(Math.min(nextQueueCheckUs, queue.nextDueUs()));
     }
--- a/src/main/java/passhatch/proxy/BackendPool.java
+++ b/src/main/java/passhatch/proxy/BackendPool.java
@@ -252,8 +252,8 @@
             }
         }
         idleConnections.values().removeIf(Deque::isEmpty);
-        List.copyOf(openConnections).forEach(connection ->
-                connection.closeIfStalled(clock.nowUs() - MAX_STALL_US));
+        FailureIsolation.forEach(log, "the check for a stalled backend connection", openConnections,
+                connection -> connection.closeIfStalled(clock.nowUs() - MAX_STALL_US), Connection::abort);
     }
 
     /** Closes all idle connections to a backend. */
@@ -284,13 +284,15 @@
         if (request.timeoutUs() != NO_TIMEOUT) {
             pending.setTimeout(request.timeoutUs());
         }
-        if (reused != null) {
-            reused.pending = pending;
-            pending.connection = reused;
-            reused.write(pending);
-        } else {
-            connect(target, pending);
-        }
+        FailureIsolation.run(log, "sending to a backend", () -> {
+            if (reused != null) {
+                reused.pending = pending;
+                pending.connection = reused;
+                reused.write(pending);
+            } else {
+                connect(target, pending);
+            }
+        }, () -> loop.execute(pending::giveUpAfterError));
         return pending;
     }
 
@@ -336,15 +338,16 @@
         connection.channel = connecting.channel();
         // Deferred to a later task of the event loop, so that the request does not end within this method,
         // even if connecting fails at once.
-        connecting.addListener(connected -> loop.execute(() -> {
-            if (connected.isSuccess()) {
-                connection.write(pending);
-            } else {
-                // If no socket could be created, the close future of the channel never completes.
-                openConnections.remove(connection);
-                connection.onConnectionLost();
-            }
-        }));
+        connecting.addListener(connected -> loop.execute(FailureIsolation.isolated(log,
+                "the end of connecting to a backend", () -> {
+                    if (connected.isSuccess()) {
+                        connection.write(pending);
+                    } else {
+                        // If no socket could be created, the close future of the channel never completes.
+                        openConnections.remove(connection);
+                        connection.onConnectionLost();
+                    }
+                }, pending::giveUpAfterError)));
         connection.channel.closeFuture().addListener(closed -> openConnections.remove(connection));
     }
 
@@ -352,6 +355,7 @@
     private final class PendingRequest implements Handle {
         final OutgoingRequest request;
         private final Listener listener;
+        /** The connection that carries it; null before there is one, and once it has ended. */
         Connection connection;
         Future<?> timeoutTask;
         /** The complete request has been handed to the network: from now on the backend may execute it. */
@@ -380,35 +384,49 @@
                 timeoutTask.cancel(false);
             }
             if (!ended && sink == null) {
-                timeoutTask = loop.schedule(this::onTimeout, Math.max(0, timeoutUs), TimeUnit.MICROSECONDS);
+                scheduleTimeout(Math.max(0, timeoutUs));
             }
         }
 
+        private void scheduleTimeout(long delayUs) {
+            timeoutTask = loop.schedule(FailureIsolation.isolated(log, "the time-out of an attempt",
+                    this::onTimeout, this::giveUpAfterError), delayUs, TimeUnit.MICROSECONDS);
+        }
+
+        /** An ended request has no response that could stall; its connection may carry another one. */
         @Override
         public void abortIfStalled() {
-            if (sink != null && connection.isShortOrStalled()) {
+            if (!ended && sink != null && connection.isShortOrStalled()) {
                 giveUp(request.timeoutOutcome());
             }
         }
 
         private void onTimeout() {
+            if (ended) {
+                return;
+            }
             if (sink != null && connection.streamedBytes > ResponseReader.MAX_BUFFERED_BYTES) {
                 // Too long to have been buffered: it is streamed for as long as it makes progress.
                 return;
             }
             if (sink != null && connection.isNewOrFastEnough()) {
-                timeoutTask = loop.schedule(this::onTimeout, MAX_BUFFERING_MS, TimeUnit.MILLISECONDS);
+                scheduleTimeout(TimeUnit.MILLISECONDS.toMicros(MAX_BUFFERING_MS));
                 return;
             }
             // A request that was not completely written cannot have been executed, so the connection failed.
             giveUp(fullyWritten ? request.timeoutOutcome() : Outcome.CONNECT_FAILED);
         }
 
+        /** Ends the request because handling it has thrown. Once it is being written, it may have run. */
+        void giveUpAfterError() {
+            giveUp(writeStarted ? Outcome.RESET : Outcome.CONNECT_FAILED);
+        }
+
         void giveUp(Outcome outcome) {
             if (!ended) {
                 if (connection != null) {
                     connection.pending = null;
-                    Channels.close(connection.channel);
+                    connection.close();
                 }
                 complete(Result.withoutBody(outcome));
             }
@@ -423,7 +441,8 @@
                 if (upload != null) {
                     request.body().detach(upload);
                 }
-                listener.done(result);
+                connection = null;
+                FailureIsolation.run(log, "the end of a request to a backend", () -> listener.done(result));
             }
         }
     }
@@ -431,24 +450,26 @@
     /** Writes a request body to a backend while it is received from the client. */
     private final class Upload implements RequestBody.Receiver {
         private final PendingRequest pending;
+        private final Connection connection;
         private final Channel channel;
         private final BudgetedWriter writer;
 
-        Upload(PendingRequest pending, Channel channel) {
+        Upload(PendingRequest pending, Connection connection) {
             this.pending = pending;
-            this.channel = channel;
+            this.connection = connection;
+            this.channel = connection.channel;
             this.writer = new BudgetedWriter(channel, transferBudget, this::onAllWritten);
         }
 
         @Override
         public void write(ByteBuf bytes) {
-            pending.connection.lastProgressUs = clock.nowUs();
+            connection.lastProgressUs = clock.nowUs();
             writer.writeAndFlush(bytes);
         }
 
         private void onAllWritten() {
             if (!pending.ended && !pending.fullyWritten) {
-                pending.connection.lastProgressUs = clock.nowUs();
+                connection.lastProgressUs = clock.nowUs();
                 pending.request.body().resume();
             }
         }
@@ -456,7 +477,7 @@
         @Override
         public void end() {
             channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
-                    .addListener(pending.connection.writeListener(pending));
+                    .addListener(connection.writeListener(pending));
         }
 
         @Override
@@ -533,7 +554,7 @@
                     channel.writeAndFlush(message).addListener(writeListener(toWrite));
                 } else {
                     channel.write(message);
-                    toWrite.upload = new Upload(toWrite, channel);
+                    toWrite.upload = new Upload(toWrite, this);
                     toWrite.request.body().attach(toWrite.upload);
                 }
             }
@@ -591,7 +612,16 @@
          */
         private void abort() {
             aborted = true;
-            channel.close();
+            close();
+        }
+
+        /** Closes the connection, which there is none of if creating its socket has thrown. */
+        private void close() {
+            if (channel != null) {
+                Channels.close(channel);
+            } else {
+                openConnections.remove(this);
+            }
         }
 
         /**
@@ -628,22 +658,25 @@
                     startStreaming();
                 } else if (pendingResult == null && bodyHadNotStarted && reader.mayExceedBuffer()) {
                     ResponseReader scheduledReader = reader;
-                    loop.schedule(() -> {
+                    loop.schedule(FailureIsolation.isolated(log, "the start of a streamed response", () -> {
                         if (reader == scheduledReader && pendingResult == null && pending != null
                                 && pending.sink == null) {
                             startStreaming();
                         }
-                    }, MAX_BUFFERING_MS, TimeUnit.MILLISECONDS);
+                    }, this::abort), MAX_BUFFERING_MS, TimeUnit.MILLISECONDS);
                 }
             }
             if (pendingResult != null) {
-                loop.execute(this::finishRequest);
+                loop.execute(FailureIsolation.isolated(log, "the end of a response", this::finishRequest,
+                        this::abort));
             }
         }
 
         /** Starts to stream the response, beginning with the bytes buffered so far. */
         private void startStreaming() {
-            ResponseSink sink = pending.listener.openSink(reader.contentLength(), this::resumeReading);
+            PendingRequest streamed = pending;
+            ResponseSink sink = streamed.listener.openSink(reader.contentLength(),
+                    () -> resumeReading(streamed));
             if (sink == null) {
                 pending.giveUp(Outcome.CANCELLED);
                 return;
@@ -732,7 +765,10 @@
             }
         }
 
-        private void resumeReading() {
+        private void resumeReading(PendingRequest streamed) {
+            if (pending != streamed) {
+                return;
+            }
             lastProgressUs = clock.nowUs();
             channel.config().setAutoRead(true);
         }
@@ -757,6 +793,14 @@
             }
             boolean reusable = !hasSurplusBytes && !decoder.hasUndecodedBytes() && finished.fullyWritten
                     && reader.isKeepAlive();
+            try {
+                prepareForNextRequest(reusable);
+            } finally {
+                finished.complete(result);
+            }
+        }
+
+        private void prepareForNextRequest(boolean reusable) {
             reader.releaseBuffer();
             reader = new ResponseReader(transferBudget);
             if (reusable && channel.isActive()) {
@@ -765,7 +809,6 @@
             } else {
                 channel.close();
             }
-            finished.complete(result);
         }
 
         private void returnToPool() {
@@ -780,13 +823,16 @@
 
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
-            writeDecodedParts();
-            reader.releaseBuffer();
-            Deque<Connection> idleToTarget = idleConnections.get(target);
-            if (idleToTarget != null) {
-                idleToTarget.remove(this);
+            try {
+                writeDecodedParts();
+                reader.releaseBuffer();
+            } finally {
+                Deque<Connection> idleToTarget = idleConnections.get(target);
+                if (idleToTarget != null) {
+                    idleToTarget.remove(this);
+                }
+                onConnectionLost();
             }
-            onConnectionLost();
         }
 
         @Override
--- a/src/main/java/passhatch/proxy/ClientConnection.java
+++ b/src/main/java/passhatch/proxy/ClientConnection.java
@@ -115,8 +115,8 @@
         return server.proxy();
     }
 
-    /** Closes the connection, because the response that is being streamed cannot be completed. */
-    void closeAfterFailedStream() {
+    /** Closes the connection at once, because a response cannot be given or completed. */
+    void abort() {
         inputDiscarded = true;
         channel.close();
     }
@@ -225,12 +225,15 @@
 
     /** Closes the connection. A request that is left without a response is reported as a violation. */
     void close() {
+        server.isolated("the report of unanswered requests", this::reportUnansweredRequests, () -> { }).run();
+        channel.close();
+    }
+
+    private void reportUnansweredRequests() {
         if (channel.isActive()) {
-            requests.stream()
-                    .filter(request -> !request.isStreamed() && request.unansweredId() != null)
+            requests.stream().filter(request -> !request.isStreamed() && request.unansweredId() != null)
                     .forEach(request -> server.proxy().guard().recordClosedUnanswered(request.activeId()));
         }
-        channel.close();
     }
 
     /** Whether the last response is sent and the connection only waits for the client to close. */
@@ -356,10 +359,10 @@
     void scheduleHandling() {
         if (!handlingScheduled) {
             handlingScheduled = true;
-            channel.eventLoop().execute(() -> {
+            channel.eventLoop().execute(server.isolated("the handling of input", () -> {
                 handlingScheduled = false;
                 handleBufferedParts();
-            });
+            }, this::failAfterError));
         }
     }
 
@@ -476,11 +479,17 @@
         if (complete && !request.isKeepAlive()) {
             discardFurtherInput();
         }
+        server.isolated("the handling of a request", () -> dispatchOrReject(request, incoming, receivedAtUs),
+                () -> failRequest(request)).run();
+    }
+
+    private void dispatchOrReject(PipelinedRequest request, RequestReader.IncomingRequest incoming,
+            long receivedAtUs) {
         try {
             dispatchRequest(request, incoming, receivedAtUs);
         } catch (RequestParser.InvalidRequestException invalid) {
             server.logClientEvent("request refused with " + invalid.status() + ": " + invalid.getMessage());
-            if (complete) {
+            if (incoming.body().isComplete()) {
                 request.respond(ProxyResponse.withStatus(invalid.status()));
             } else {
                 rejectRequest(invalid.status());
@@ -488,6 +497,18 @@
         }
     }
 
+    /** Fails a request whose handling has thrown; others of the connection are handled as before. */
+    private void failRequest(PipelinedRequest request) {
+        if (request == incompleteRequest) {
+            rejectRequest(HttpResponseStatus.BAD_GATEWAY);
+        } else if (request.response() == null && !request.isStreamed()) {
+            if (request.activeId() != null) {
+                server.proxy().clientGone(request.activeId());
+            }
+            request.respond(ProxyResponse.failed());
+        }
+    }
+
     /** Answers {@code /ready}, and passes any other request to the proxy. */
     private void dispatchRequest(PipelinedRequest request, RequestReader.IncomingRequest incoming,
             long receivedAtUs) throws RequestParser.InvalidRequestException {
@@ -641,7 +662,7 @@
         channel.config().setAutoRead(false);
         written.addListener(completedWrite -> {
             if (completedWrite.isSuccess()) {
-                startLingering();
+                server.isolated("the end of a connection", this::startLingering, this::close).run();
             } else {
                 close();
             }
@@ -653,19 +674,22 @@
         List<PipelinedRequest> abandoned = List.copyOf(requests);
         requests.clear();
         incompleteRequest = null;
-        for (PipelinedRequest request : abandoned) {
-            String unansweredId = request.unansweredId();
-            request.releaseBuffers();
-            request.dropResponse();
-            if (unansweredId != null) {
-                server.proxy().clientGone(unansweredId);
-            }
-        }
+        server.forEachIsolated("the end of a request without its client", abandoned, this::abandonRequest,
+                request -> { });
         reader.discardIncomplete();
         readAhead.releaseAll();
         incompleteSinceUs = 0;
     }
 
+    private void abandonRequest(PipelinedRequest request) {
+        String unansweredId = request.unansweredId();
+        request.releaseBuffers();
+        request.dropResponse();
+        if (unansweredId != null) {
+            server.proxy().clientGone(unansweredId);
+        }
+    }
+
     /**
      * Treats a client that shuts down its sending side as gone: its requests are abandoned. In case it still
      * reads, it is answered with 502 unless a response has begun.
@@ -705,10 +729,15 @@
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         server.logClientEvent("client connection failed and is closed: " + cause);
+        failAfterError();
+    }
+
+    /** Closes the connection after an error in its handling. */
+    private void failAfterError() {
         if (requestRejected || lingering) {
             channel.close();
         } else {
-            failConnection();
+            server.isolated("the failure of a connection", this::failConnection, channel::close).run();
         }
     }
 }
--- a/src/main/java/passhatch/proxy/ClientServer.java
+++ b/src/main/java/passhatch/proxy/ClientServer.java
@@ -12,6 +12,9 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
+import java.util.Collection;
+import java.util.List;
+import java.util.function.Consumer;
 import passhatch.proxy.EventLog.Kind;
 
 /**
@@ -172,9 +175,10 @@
      */
     void closeIdleConnections() {
         long nowUs = clock.nowUs();
-        connections.snapshot().stream()
-                .filter(connection -> connection.isIdle() && !isNewlyConnected(connection, nowUs))
-                .forEach(ClientConnection::closeIfIdle);
+        List<ClientConnection> idle = connections.stream()
+                .filter(connection -> connection.isIdle() && !isNewlyConnected(connection, nowUs)).toList();
+        forEachIsolated("the close of an idle connection", idle, ClientConnection::closeIfIdle,
+                ClientConnection::abort);
     }
 
     /** Measures the delay of the event loop, as the delay of this task. */
@@ -220,7 +224,8 @@
      * queue for at most {@link #MAX_QUEUE_TIME_US}.
      */
     private void makePlace() {
-        connections.evictUntilPlaceIsFree(clock.nowUs());
+        FailureIsolation.run(log, "the eviction of a connection",
+                () -> connections.evictUntilPlaceIsFree(clock.nowUs()));
         if (listener != null && listener.isOpen()) {
             listener.setAccepting(connections.freePlaces() > 0);
         }
@@ -251,8 +256,9 @@
         long firstRequestTimeoutUs = closesIdle ? DRAINING_FIRST_REQUEST_TIMEOUT_US
                 : FIRST_REQUEST_TIMEOUT_US;
         long idleTimeoutUs = closesIdle ? 0 : IDLE_TIMEOUT_US;
-        connections.snapshot().forEach(connection ->
-                connection.closeIfStalled(nowUs, firstRequestTimeoutUs, idleTimeoutUs));
+        forEachIsolated("the check for a stalled connection", connections.snapshot(),
+                connection -> connection.closeIfStalled(nowUs, firstRequestTimeoutUs, idleTimeoutUs),
+                ClientConnection::abort);
         makePlace();
         closeOverdueQueue();
     }
@@ -310,6 +316,16 @@
         sink.add("clients.closed_unread", closedUnread);
     }
 
+    /** Returns a task that logs what the work throws, and then runs the recovery. */
+    Runnable isolated(String name, Runnable work, Runnable recovery) {
+        return FailureIsolation.isolated(log, name, work, recovery);
+    }
+
+    /** Does the work for each item, and the recovery for each on which it throws. */
+    <T> void forEachIsolated(String name, Collection<T> items, Consumer<T> work, Consumer<T> recovery) {
+        FailureIsolation.forEach(log, name, items, work, recovery);
+    }
+
     /** Logs an error caused by a client. */
     void logClientEvent(String message) {
         log.line(Kind.CLIENT, message);
--- a/src/main/java/passhatch/proxy/Console.java
+++ b/src/main/java/passhatch/proxy/Console.java
@@ -181,7 +181,11 @@
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
             log.line(Kind.CONSOLE, "console: connection closed after an error: " + cause);
-            ctx.close();
+            if (state == State.PROCESSING) {
+                respond(ConsoleRoutes.Response.of(HttpResponseStatus.INTERNAL_SERVER_ERROR));
+            } else {
+                ctx.close();
+            }
         }
     }
 }
--- a/src/main/java/passhatch/proxy/Discovery.java
+++ b/src/main/java/passhatch/proxy/Discovery.java
@@ -85,6 +85,8 @@
         void onDiscoveryFailure(DiscoveryFailure failure);
     }
 
+    private static final long ABANDONED_CHECK_INTERVAL_US = 1_000_000;
+
     private final EventLoop loop;
     private final EventLog log;
     private final List<String> zones;
@@ -98,6 +100,8 @@
     private boolean needsFullList;
     private long retryDelayMs = INITIAL_RETRY_DELAY_MS;
     private boolean stopped;
+    /** Whether a call has been made. */
+    private boolean started;
     /** The last call made to the current address; null if there is none. */
     private CallHandler currentCall;
     /** The watch of the previous address, until the current address sends a list; null if there is none. */
@@ -120,6 +124,8 @@
         this.lastIndex = config.cachedList().index();
         // Version 0 is a valid version to resume from, unless it stands for an empty list.
         this.needsFullList = lastIndex == 0 && config.cachedList().endpoints().isEmpty();
+        RepeatingTask.start(loop, log, "check for the next call to discovery", ABANDONED_CHECK_INTERVAL_US,
+                this::resumeIfAbandoned);
     }
 
     DiscoveryCalls calls() {
@@ -134,6 +140,7 @@
         if (stopped || currentCall != null && !currentCall.isOver) {
             return;
         }
+        started = true;
         cancelScheduledCall();
         boolean fetchFullList = needsFullList;
         String path = fetchFullList ? "/v1/endpoints" : "/v1/endpoints?watch=1&from=" + lastIndex;
@@ -218,6 +225,16 @@
         }
     }
 
+    /** Guards against an error that drops the task which is to make the next call: nothing else would. */
+    private void resumeIfAbandoned() {
+        boolean callOpen = currentCall != null && !currentCall.isOver;
+        boolean callScheduled = scheduledCall != null && !scheduledCall.isDone();
+        if (started && !stopped && !callOpen && !callScheduled) {
+            log.line(Kind.DISCOVERY, "discovery: no call is open or scheduled; calling again");
+            ensureWatching();
+        }
+    }
+
     /** Closes all calls and makes no more. */
     void stop() {
         stopped = true;
@@ -396,7 +413,7 @@
             needsFullList = false;
             hasFetchedFullList = fetchFullList;
             retryDelayMs = INITIAL_RETRY_DELAY_MS;
-            listener.onServerList(list);
+            applyList(list);
             if (fetchFullList) {
                 call.setEndIfUnset(DiscoveryCalls.End.ANSWERED);
                 // The full list is complete, but the end of the response may never arrive. The watch is
@@ -405,6 +422,14 @@
             }
         }
 
+        /** Applies a list. One that cannot be applied is fetched again in full, or it would be lost. */
+        private void applyList(EndpointList list) {
+            FailureIsolation.run(log, "the application of a list", () -> listener.onServerList(list), () -> {
+                needsFullList = true;
+                channel.close();
+            });
+        }
+
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
             call.setEndIfUnset(cause instanceof ReadTimeoutException ? DiscoveryCalls.End.SILENT
--- a/src/main/java/passhatch/proxy/Exchange.java
+++ b/src/main/java/passhatch/proxy/Exchange.java
@@ -40,6 +40,11 @@
         return attempts.isEmpty() ? " before any attempt" : text.toString();
     }
 
+    /** Whether its response is being streamed, and its attempt has not ended. */
+    boolean isStreaming() {
+        return streamedAttempt != null && streamedAttempt.outcome == null;
+    }
+
     /** Whether any attempt may have run, as far as the outcomes prove. */
     boolean mayHaveRun() {
         return attempts.stream().anyMatch(a -> a.outcome == null || !a.outcome.provesNotRun);
@@ -51,7 +56,7 @@
         final String server;
         /** When it was sent, or when the last byte of the request arrived if that was later. */
         long sentAtUs;
-        /** Null if it was never sent. */
+        /** Null if it was never sent, and once it has ended. */
         Handle handle;
         /** Null while it is in flight. */
         Outcome outcome;
@@ -61,5 +66,11 @@
             this.server = server;
             this.sentAtUs = sentAtUs;
         }
+
+        /** Notes its outcome. There is nothing to control any more. */
+        void end(Outcome finalOutcome) {
+            outcome = finalOutcome;
+            handle = null;
+        }
     }
 }
--- a/src/main/java/passhatch/proxy/Handover.java
+++ b/src/main/java/passhatch/proxy/Handover.java
@@ -71,8 +71,8 @@
         if (directory != null) {
             poll();
             pollTimer = loop.scheduleWithFixedDelay(
-                    RepeatingTask.guarded(log, "poll of the shared state", this::poll), POLL_INTERVAL_MS,
-                    POLL_INTERVAL_MS, TimeUnit.MILLISECONDS);
+                    FailureIsolation.isolated(log, "the poll of the shared state", this::poll),
+                    POLL_INTERVAL_MS, POLL_INTERVAL_MS, TimeUnit.MILLISECONDS);
         }
     }
 
@@ -142,7 +142,7 @@
             poll();
             pendingChanges.add(new PendingChange(changed.version(), deadlineNs, onDone));
             completePendingChanges();
-        } catch (Exception e) {
+        } catch (Exception | Error e) {
             log.line("handover: the change could not be stored and is not in effect: " + e);
             onDone.accept(false);
         }
@@ -211,7 +211,8 @@
         long nowNs = System.nanoTime();
         List<PendingChange> completed = new ArrayList<>();
         pendingChanges.removeIf(change -> isComplete(change, nowNs) && completed.add(change));
-        completed.forEach(change -> change.onDone().accept(true));
+        FailureIsolation.forEach(log, "the end of a change of the state", completed,
+                change -> change.onDone().accept(true), change -> { });
     }
 
     private boolean isComplete(PendingChange change, long nowNs) {
--- a/src/main/java/passhatch/proxy/PipelinedRequest.java
+++ b/src/main/java/passhatch/proxy/PipelinedRequest.java
@@ -58,7 +58,7 @@
 
     @Override
     public void streamFailed() {
-        connection.closeAfterFailedStream();
+        connection.abort();
     }
 
     @Override
@@ -66,6 +66,11 @@
         return connection.isClientPresent(this);
     }
 
+    @Override
+    public void abort() {
+        connection.abort();
+    }
+
     @Override
     public void resumeReading() {
         connection.scheduleHandling();
--- a/src/main/java/passhatch/proxy/ProxyLoop.java
+++ b/src/main/java/passhatch/proxy/ProxyLoop.java
@@ -59,6 +59,8 @@
      * latency of each probe in the mean that it waits for.
      */
     private static final long PROBE_TIMEOUT_US = 50_000;
+    /** Delay until the module's timer is called again if it has thrown: queued calls depend on it. */
+    private static final long TIMER_RETRY_DELAY_US = 100_000;
 
     /** The client's side of a request, which takes the final response. */
     interface Responder {
@@ -76,6 +78,9 @@
 
         /** Whether the client is known to be connected; false also if its disconnect may be undetected. */
         boolean isClientPresent();
+
+        /** Closes the client's connection, as no response can be given: its client must not wait for one. */
+        default void abort() { }
     }
 
     private final EventLoop loop;
@@ -104,9 +109,9 @@
     /**
      * A call to the module that is due.
      *
-     * @param exchange the request that it concerns, or null
+     * @param recovery settles what is owed if the module throws
      */
-    private record ModuleEvent(Exchange exchange, Runnable delivery) { }
+    private record ModuleEvent(Runnable delivery, Runnable recovery) { }
 
     ProxyLoop(EventLoop loop, Clock clock, EventLog log, ProxyConfig config, BackendPool pool,
             ProxyServer.ModuleFactory module, ProxyMemory memory) {
@@ -238,7 +243,12 @@
     private void removeFromList(Backend backend) {
         backend.setAvailable(false, clock.nowUs());
         backend.listed = false;
-        pool.closeIdle(backend.target);
+        closeIdleConnections(backend);
+    }
+
+    /** Closes idle connections to a backend; the list of backends is applied even if that fails. */
+    private void closeIdleConnections(Backend backend) {
+        FailureIsolation.run(log, "closing idle connections", () -> pool.closeIdle(backend.target));
     }
 
     private Handle sendTo(Backend backend, OutgoingRequest outgoing, BackendPool.Listener listener) {
@@ -256,7 +266,7 @@
                     backends.remove(backend.target.id(), backend);
                 }
                 if (!backend.available) {
-                    pool.closeIdle(backend.target);
+                    closeIdleConnections(backend);
                 }
                 listener.done(result);
             }
@@ -294,7 +304,8 @@
     }
 
     private void startFallbackTimer(Exchange exchange) {
-        exchange.fallbackTimer = loop.schedule(() -> respondInPlaceOfModule(exchange),
+        exchange.fallbackTimer = loop.schedule(FailureIsolation.isolated(log, "the response at a deadline",
+                () -> respondInPlaceOfModule(exchange), () -> failAfterError(exchange)),
                 Math.max(0, exchange.deadlineUs - clock.nowUs()) + FALLBACK_DELAY_US,
                 TimeUnit.MICROSECONDS);
     }
@@ -379,19 +390,59 @@
      * Ends all open requests shortly before this process is killed, so that none stays without a response.
      * Streamed responses that make progress continue, because aborting them here would certainly lose them.
      * One that is stalled is aborted, so that its client detects the failure before the process is killed.
+     * Requests that have their response, and of which only attempts are still in flight, need nothing.
      */
     void terminateAll() {
-        for (Exchange exchange : List.copyOf(exchanges.values())) {
-            if (exchange.streamedAttempt == null) {
-                respondInPlaceOfModule(exchange);
-            } else if (exchange.streamedAttempt.handle != null) {
-                exchange.streamedAttempt.handle.abortIfStalled();
-            }
+        FailureIsolation.forEach(log, "the final response at a shutdown", exchanges.values(), this::terminate,
+                this::failAfterError);
+    }
+
+    private void terminate(Exchange exchange) {
+        if (exchange.responded) {
+            return;
+        }
+        if (exchange.streamedAttempt == null) {
+            respondInPlaceOfModule(exchange);
+        } else if (exchange.streamedAttempt.handle != null) {
+            exchange.streamedAttempt.handle.abortIfStalled();
+        }
+    }
+
+    /**
+     * Ends a request whose handling has thrown: its client gets a failure, and the module forgets it. A
+     * response that is being streamed continues.
+     */
+    private void failAfterError(Exchange exchange) {
+        if (exchange.isStreaming()) {
+            return;
+        }
+        if (!exchange.responded && exchange.streamedAttempt == null) {
+            respond(exchange, ProxyResponse.failed());
+        } else if (!exchange.responded) {
+            markResponded(exchange);
+            abortConnection(exchange);
+        }
+        notifyModule(null, () -> balancer.clientGone(clock.nowUs(), exchange.request.id()));
+        removeIfFinished(exchange);
+    }
+
+    private void abortConnection(Exchange exchange) {
+        FailureIsolation.run(log, "closing a client's connection", exchange.responder::abort);
+    }
+
+    /** Notes the end of an attempt, once for each. */
+    private void onAttemptEnd(Exchange exchange, Attempt attempt, Result result) {
+        if (attempt.outcome != null) {
+            log.line(Kind.ATTEMPT, "attempt " + attempt.number + " of " + exchange.request.id()
+                    + " has ended before, with " + attempt.outcome + "; " + result.outcome() + " is ignored");
+            return;
         }
+        FailureIsolation.run(log, "the end of an attempt", () -> attemptEnded(exchange, attempt, result),
+                () -> failAfterError(exchange));
     }
 
     private void attemptEnded(Exchange exchange, Attempt attempt, Result result) {
-        attempt.outcome = result.outcome();
+        attempt.end(result.outcome());
         boolean streamed = exchange.streamedAttempt == attempt;
         long elapsedUs = (streamed ? exchange.streamStartedAtUs : clock.nowUs()) - attempt.sentAtUs;
         if (streamed && !exchange.responded) {
@@ -400,7 +451,8 @@
                     : Metrics.RequestResult.ERROR);
             markResponded(exchange);
             if (result.outcome() != Outcome.OK) {
-                exchange.sink.fail();
+                FailureIsolation.run(log, "the failure of a streamed response", exchange.sink::fail,
+                        () -> abortConnection(exchange));
             }
         } else if (result.outcome() == Outcome.OK && !exchange.responded
                 && exchange.streamedAttempt == null) {
@@ -445,32 +497,33 @@
      * @param exchange the request that the event concerns, or null; it fails if the module throws
      */
     private void notifyModule(Exchange exchange, Runnable delivery) {
-        events.add(new ModuleEvent(exchange, delivery));
+        notifyModuleOrRecover(delivery, () -> {
+            if (exchange != null) {
+                failAfterError(exchange);
+            }
+        });
+    }
+
+    /**
+     * Reports an event to the module, after all earlier ones.
+     *
+     * @param recovery settles what is owed if the module throws
+     */
+    private void notifyModuleOrRecover(Runnable delivery, Runnable recovery) {
+        events.add(new ModuleEvent(delivery, recovery));
         if (moduleRunning) {
             return;
         }
         moduleRunning = true;
         try {
             for (ModuleEvent event = events.poll(); event != null; event = events.poll()) {
-                deliver(event);
+                FailureIsolation.run(log, "the decision module", event.delivery(), event.recovery());
             }
         } finally {
             moduleRunning = false;
         }
     }
 
-    private void deliver(ModuleEvent event) {
-        try {
-            event.delivery().run();
-        } catch (RuntimeException | Error thrown) {
-            log.bug("in the decision module", thrown);
-            if (event.exchange() != null && !event.exchange().responded
-                    && event.exchange().streamedAttempt == null) {
-                respond(event.exchange(), ProxyResponse.failed());
-            }
-        }
-    }
-
     // ---- actions of the module
 
     @Override
@@ -494,7 +547,7 @@
         long attemptTimeoutUs = timeoutUs == 0 ? timeLeftUs : Math.min(timeoutUs, timeLeftUs);
         if (backend == null || exchange.responded || exchange.streamedAttempt != null || attemptTimeoutUs <= 0
                 || attempt.number >= maxAttempts) {
-            loop.execute(() -> attemptEnded(exchange, attempt, Result.withoutBody(Outcome.NOT_SENT)));
+            loop.execute(() -> onAttemptEnd(exchange, attempt, Result.withoutBody(Outcome.NOT_SENT)));
             return;
         }
         long attemptDeadlineUs = nowUs + attemptTimeoutUs;
@@ -521,7 +574,7 @@
 
                     @Override
                     public void done(Result result) {
-                        attemptEnded(exchange, attempt, result);
+                        onAttemptEnd(exchange, attempt, result);
                     }
                 });
     }
@@ -642,7 +695,8 @@
 
     @Override
     public void wakeAt(long atUs) {
-        loop.schedule(() -> notifyModule(null, () -> balancer.timer(clock.nowUs())),
+        loop.schedule(() -> notifyModuleOrRecover(() -> balancer.timer(clock.nowUs()),
+                () -> wakeAt(clock.nowUs() + TIMER_RETRY_DELAY_US)),
                 Math.max(0, atUs - clock.nowUs()), TimeUnit.MICROSECONDS);
     }
 
@@ -662,7 +716,8 @@
     private void respond(Exchange exchange, ProxyResponse response) {
         metrics.requestEnded(exchange.request.requestClass(), response.category());
         markResponded(exchange);
-        exchange.responder.respond(response);
+        FailureIsolation.run(log, "the response to a client", () -> exchange.responder.respond(response),
+                () -> abortConnection(exchange));
     }
 
     private void markResponded(Exchange exchange) {
@@ -673,11 +728,11 @@
         markComplete(exchange);
         pendingRequests--;
         if (pendingRequests == 0) {
-            loop.execute(() -> {
+            loop.execute(FailureIsolation.isolated(log, "the end of the last request", () -> {
                 if (pendingRequests == 0) {
                     onIdle.run();
                 }
-            });
+            }));
         }
     }
 
--- a/src/main/java/passhatch/proxy/ProxyServer.java
+++ b/src/main/java/passhatch/proxy/ProxyServer.java
@@ -30,6 +30,7 @@
 
     /** How often stale and stalled backend connections are closed. */
     private static final long POOL_SWEEP_INTERVAL_US = 250_000;
+    private static final long START_RETRY_DELAY_MS = 100;
     /** How often a shutdown checks whether connections still need this process. */
     private static final long DRAIN_CHECK_INTERVAL_MS = 10;
     /**
@@ -199,11 +200,17 @@
                 throw new ProxyConfig.InvalidConfigException("PROXY_CONSOLE: " + e.getMessage());
             }
             server.loop.execute(() -> server.proxy.readiness()
-                    .whenListReceived(() -> server.startServing(config.listen())));
+                    .whenListReceived(() -> server.startServingOrRetry(config.listen())));
         }
         return server;
     }
 
+    private void startServingOrRetry(InetSocketAddress listenAddress) {
+        FailureIsolation.run(log, "the start of serving", () -> startServing(listenAddress),
+                () -> loop.schedule(() -> startServingOrRetry(listenAddress), START_RETRY_DELAY_MS,
+                        TimeUnit.MILLISECONDS));
+    }
+
     /**
      * Accepts clients, now that a list of backends has been received, and announces that to the other
      * process of this proxy, if there is one. That process received all clients until now.
@@ -379,27 +386,47 @@
         loop.execute(() -> {
             log.line("shutting down");
             drainState.beginShutdown();
-            boolean hasSuccessor = handover != null && handover.hasSuccessor();
+            boolean hasSuccessor = hasSuccessor();
             ShutdownSchedule schedule = ShutdownSchedule.of(longestDeadlineMs, hasSuccessor);
+            scheduleStep("the end of listening", clientServer::stopListening,
+                    schedule.stopListeningAfterMs());
+            scheduleStep("the close of connections", () -> {
+                drainState.closeAfterResponsesAndIdle();
+                waitForDrain();
+            }, schedule.closeConnectionsAfterMs());
+            scheduleStep("the final responses", () -> {
+                finalResponsesSent = true;
+                FailureIsolation.run(log, "the final responses", proxy::terminateAll);
+                waitForDrain();
+            }, schedule.respondToAllAfterMs());
             if (hasSuccessor) {
                 log.line("handover: another process serves; new clients are left to it");
-                handover.setServing(false);
                 drainState.closeAfterResponses();
+                FailureIsolation.run(log, "the handover", () -> handover.setServing(false));
             }
-            loop.schedule(clientServer::stopListening, schedule.stopListeningAfterMs(),
-                    TimeUnit.MILLISECONDS);
-            loop.schedule(() -> {
-                drainState.closeAfterResponsesAndIdle();
-                proxy.whenIdle(this::terminateOnceDrained);
-            }, schedule.closeConnectionsAfterMs(), TimeUnit.MILLISECONDS);
-            loop.schedule(() -> {
-                proxy.terminateAll();
-                finalResponsesSent = true;
-                proxy.whenIdle(this::terminateOnceDrained);
-            }, schedule.respondToAllAfterMs(), TimeUnit.MILLISECONDS);
         });
     }
 
+    /** Whether another process of this proxy serves; false if that cannot be found out. */
+    private boolean hasSuccessor() {
+        try {
+            return handover != null && handover.hasSuccessor();
+        } catch (RuntimeException | Error thrown) {
+            log.bug("in the search for another process", thrown);
+            return false;
+        }
+    }
+
+    /** Schedules a step of the shutdown; one that throws leaves the others. */
+    private void scheduleStep(String name, Runnable step, long delayMs) {
+        loop.schedule(FailureIsolation.isolated(log, name, step), delayMs, TimeUnit.MILLISECONDS);
+    }
+
+    private void waitForDrain() {
+        proxy.whenIdle(FailureIsolation.isolated(log, "the end of the drain", this::terminateOnceDrained,
+                this::scheduleDrainCheck));
+    }
+
     /**
      * Terminates once no connection needs this process any more: all responses have been handed to the
      * network, which can take a slow client some time with a long response, no client has only just
@@ -417,16 +444,23 @@
                 drainWaitLogged = true;
                 log.line("the last connections are waited for");
             }
-            drainCheckScheduled = true;
-            loop.schedule(() -> {
-                drainCheckScheduled = false;
-                proxy.whenIdle(this::terminateOnceDrained);
-            }, DRAIN_CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
+            scheduleDrainCheck();
         } else {
             terminate();
         }
     }
 
+    private void scheduleDrainCheck() {
+        if (drainCheckScheduled) {
+            return;
+        }
+        drainCheckScheduled = true;
+        loop.schedule(() -> {
+            drainCheckScheduled = false;
+            waitForDrain();
+        }, DRAIN_CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
+    }
+
     /** Stops accepting client connections, as a shutdown does. */
     void stopListening() {
         clientServer.stopListening();
@@ -454,12 +488,12 @@
 
     private void terminate() {
         terminating = true;
-        proxy.stop();
-        console.close();
+        FailureIsolation.run(log, "the end of the watch", proxy::stop);
+        FailureIsolation.run(log, "the end of the console", console::close);
         if (handover != null) {
-            handover.close();
+            FailureIsolation.run(log, "the end of the handover", handover::close);
         }
-        clientServer.closeIdleConnections();
+        FailureIsolation.run(log, "the close of idle connections", clientServer::closeIdleConnections);
         group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS).addListener(done -> terminated.countDown());
     }
 }
--- a/src/main/java/passhatch/proxy/RepeatingTask.java
+++ b/src/main/java/passhatch/proxy/RepeatingTask.java
@@ -26,22 +26,12 @@
      * @param intervalUs from the end of a run to the next one, in microseconds
      */
     static void start(EventLoop loop, EventLog log, String name, long intervalUs, Runnable task) {
-        new RepeatingTask(loop, intervalUs, guarded(log, name, task)).run();
+        new RepeatingTask(loop, intervalUs, FailureIsolation.isolated(log, "a repeated task: " + name, task))
+                .run();
     }
 
     private void run() {
         task.run();
         loop.schedule(this::run, intervalUs, TimeUnit.MICROSECONDS);
     }
-
-    /** Returns a task that logs what the given one throws. */
-    static Runnable guarded(EventLog log, String name, Runnable task) {
-        return () -> {
-            try {
-                task.run();
-            } catch (RuntimeException | Error thrown) {
-                log.bug("in a repeated task: " + name, thrown);
-            }
-        };
-    }
 }
--- a/src/test/java/passhatch/FakeProxy.java
+++ b/src/test/java/passhatch/FakeProxy.java
@@ -87,6 +87,8 @@
     final Map<String, Integer> attemptCounts = new HashMap<>();
     /** The servers of each request's attempts, in order. */
     final Map<String, List<String>> serversByRequest = new HashMap<>();
+    /** The request whose attempts throw when they are sent; null if there is none. */
+    String failingRequest;
     long nowUs = 1_000_000 * MS;
     private long wakeAtUs = Long.MAX_VALUE;
     private int requestCount;
@@ -192,6 +194,9 @@
 
     @Override
     public void send(String request, String server, long timeoutUs) {
+        if (request.equals(failingRequest)) {
+            throw new IllegalStateException("by the test");
+        }
         attemptCounts.merge(request, 1, Integer::sum);
         serversByRequest.computeIfAbsent(request, r -> new ArrayList<>()).add(server);
         actions.add("send " + request + " " + server + " " + timeoutUs);
--- a/src/test/java/passhatch/proxy/ClientConnectionTest.java
+++ b/src/test/java/passhatch/proxy/ClientConnectionTest.java
@@ -1,13 +1,16 @@
 package passhatch.proxy;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.DefaultEventLoop;
 import io.netty.channel.EventLoop;
 import io.netty.channel.embedded.EmbeddedChannel;
+import java.nio.charset.StandardCharsets;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -51,4 +54,23 @@
         assertTrue(connection.isIdle());
         channel.finishAndReleaseAll();
     }
+
+    /** A request whose handling throws, here as nothing parses it, is answered; so are those around it. */
+    @Test
+    void answersARequestWhoseHandlingThrows() {
+        EmbeddedChannel channel = new EmbeddedChannel();
+        ClientServer server = new ClientServer(loop, new Clock(), new EventLog(System.err), null, null, 10,
+                ProxyMemory.ofHeap(1 << 20), new DrainState(loop));
+        channel.pipeline().addLast(new ClientConnection(server, channel, new Clock(), 0).handlers());
+        channel.writeInbound(Unpooled.copiedBuffer("GET /board HTTP/1.1\r\n\r\nGET /board HTTP/1.1\r\n\r\n",
+                StandardCharsets.US_ASCII));
+        channel.runPendingTasks();
+        StringBuilder responses = new StringBuilder();
+        for (ByteBuf bytes = channel.readOutbound(); bytes != null; bytes = channel.readOutbound()) {
+            responses.append(bytes.toString(StandardCharsets.US_ASCII));
+            bytes.release();
+        }
+        assertEquals(2, responses.toString().split("HTTP/1.1 502", -1).length - 1, responses.toString());
+        channel.finishAndReleaseAll();
+    }
 }
