Move joining of decoded parts and discarding of input into classes of their own

Cause: BackendPool and ClientConnection are large, and each held a part that needs none of their state. Change: DecodedParts and DiscardingHandler; what they do is as it was.

--- a/src/main/java/passhatch/proxy/BackendPool.java
+++ b/src/main/java/passhatch/proxy/BackendPool.java
@@ -27,11 +27,9 @@
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -492,7 +490,7 @@
         private final ResponseDecoder decoder = new ResponseDecoder();
         private ResponseReader reader = new ResponseReader(transferBudget);
         /** Parts of the streamed response from the bytes that are being decoded. */
-        private final List<ByteBuf> decodedParts = new ArrayList<>();
+        private final DecodedParts decodedParts = new DecodedParts();
         /**
          * Result of a complete response, until the event loop has processed the bytes received together with
          * it; null otherwise.
@@ -722,7 +720,7 @@
                     abort();
                     return;
                 }
-                decodedParts.add(content.content().retain());
+                decodedParts.add(content.content());
             }
             if (part instanceof LastHttpContent) {
                 writeDecodedParts();
@@ -733,27 +731,15 @@
             }
         }
 
-        /**
-         * Gives the parts that were decoded from one read to the sink as one buffer of their size. A backend
-         * may send many small chunks, which would take far more memory than their bytes, and a part keeps all
-         * of the read's buffer.
-         */
+        /** Gives the parts that were decoded from one read to the sink, if they are still wanted. */
         private void writeDecodedParts() {
             if (decodedParts.isEmpty()) {
                 return;
             }
-            boolean wanted = pending != null && pending.sink != null;
-            int bytes = decodedParts.stream().mapToInt(ByteBuf::readableBytes).sum();
-            ByteBuf joined = wanted ? channel.alloc().ioBuffer(bytes, bytes) : null;
-            for (ByteBuf part : decodedParts) {
-                if (wanted) {
-                    joined.writeBytes(part);
-                }
-                part.release();
-            }
-            decodedParts.clear();
-            if (wanted) {
-                writeToSink(joined);
+            if (pending != null && pending.sink != null) {
+                writeToSink(decodedParts.takeJoined(channel.alloc()));
+            } else {
+                decodedParts.releaseAll();
             }
         }
 
--- a/src/main/java/passhatch/proxy/ClientConnection.java
+++ b/src/main/java/passhatch/proxy/ClientConnection.java
@@ -1,12 +1,10 @@
 package passhatch.proxy;
 
-import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
@@ -286,26 +284,12 @@
         }
         lastResponseWritten = true;
         lingering = true;
-        channel.pipeline().addFirst(new DiscardingHandler());
+        channel.pipeline().addFirst(new DiscardingHandler(MAX_LINGER_BYTES, this::close));
         ((SocketChannel) channel).shutdownOutput();
         channel.config().setAutoRead(true);
         channel.eventLoop().schedule(this::close, LINGER_TIMEOUT_MS, TimeUnit.MILLISECONDS);
     }
 
-    /** Discards input of a lingering connection, and closes it after {@link #MAX_LINGER_BYTES}. */
-    private final class DiscardingHandler extends ChannelInboundHandlerAdapter {
-        private int discardedBytes;
-
-        @Override
-        public void channelRead(ChannelHandlerContext ctx, Object message) {
-            discardedBytes += ((ByteBuf) message).readableBytes();
-            ReferenceCountUtil.release(message);
-            if (discardedBytes > MAX_LINGER_BYTES) {
-                close();
-            }
-        }
-    }
-
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
         server.connectionOpened(this);
