Close waiting connections unread only while there is no place for them

Cause: connections counted as waiting too long as soon as the accept queue had not been seen empty for 0.4 s, also where accept calls had failed meanwhile although there were places: those could be accepted. Found by reading. Change: the queue is closed unread only while no place is free. Measured: ClientLimitTest, BadClientsTest and DescriptorsTest passed; no test forces the failed accept calls here.

--- a/src/main/java/passhatch/proxy/ClientServer.java
+++ b/src/main/java/passhatch/proxy/ClientServer.java
@@ -156,7 +156,7 @@
 
     /**
      * Whether a client's first request may be on its way: on a connection that is still in the accept queue,
-     * or on one that was established less than {@link #ClientConnections.NEW_CONNECTION_GRACE_US} ago.
+     * or on one that was established less than {@link ClientConnections#NEW_CONNECTION_GRACE_US} ago.
      */
     boolean mayHaveUnreadRequests() {
         long nowUs = clock.nowUs();
@@ -231,9 +231,10 @@
         }
     }
 
-    /** Closes the connections that may have waited too long to be accepted. */
+    /** Closes the connections that may have waited too long for a place. */
     private void closeOverdueQueue() {
-        if (listener == null || !listener.isActive() || listener.queueTimeUs() < MAX_QUEUE_TIME_US) {
+        if (listener == null || !listener.isActive() || connections.freePlaces() > 0
+                || listener.queueTimeUs() < MAX_QUEUE_TIME_US) {
             return;
         }
         try {
