Move the idle connections of BackendPool into a class of their own

Change: IdleConnections owns that table, its limit and the idle time-out. What is reused, closed and when is as it was; closing skips a channel that is not open, as elsewhere.

--- a/src/main/java/passhatch/proxy/BackendPool.java
+++ b/src/main/java/passhatch/proxy/BackendPool.java
@@ -26,11 +26,7 @@
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
-import java.util.ArrayDeque;
-import java.util.Deque;
-import java.util.HashMap;
 import java.util.HashSet;
-import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
@@ -75,13 +71,6 @@
     static final int SEND_BUFFER_BYTES = 1 << 17;
     /** Most bytes that one read from a socket takes. */
     static final int MAX_READ_BYTES = 1 << 15;
-    /** Most idle connections kept to one backend. More would only use up the backend's connection table. */
-    private static final int MAX_IDLE_PER_BACKEND = 8;
-    /**
-     * Fraction of the backends' idle time-out after which an idle connection is closed here, so that it is
-     * closed before the backend may close it.
-     */
-    private static final double IDLE_TIMEOUT_FRACTION = 0.7;
 
     /**
      * How a request to a backend ended.
@@ -195,11 +184,10 @@
     private final EventLoop loop;
     private final Clock clock;
     private final EventLog log;
-    private final long maxIdleUs;
     private final MemoryBudget transferBudget;
     private int maxOpen;
     private final Bootstrap bootstrap;
-    private final Map<Target, Deque<Connection>> idleConnections = new HashMap<>();
+    private final IdleConnections<Connection> idleConnections;
     private final Set<Connection> openConnections = new HashSet<>();
 
     /**
@@ -217,7 +205,7 @@
         this.loop = loop;
         this.clock = clock;
         this.log = log;
-        this.maxIdleUs = (long) (keepaliveUs * IDLE_TIMEOUT_FRACTION);
+        this.idleConnections = new IdleConnections<>(clock, keepaliveUs);
         this.maxOpen = maxOpen;
         this.transferBudget = transferBudget;
         this.bootstrap = new Bootstrap().group(loop).channel(NioSocketChannel.class)
@@ -234,7 +222,7 @@
     void setMaxOpen(int newMaxOpen) {
         maxOpen = newMaxOpen;
         for (int excess = openConnections.size() - newMaxOpen; excess > 0; excess--) {
-            closeLongestIdle();
+            idleConnections.closeLongestIdle();
         }
     }
 
@@ -243,23 +231,14 @@
      * has stalled. To be called periodically.
      */
     void closeStale() {
-        long idleSinceLimitUs = clock.nowUs() - maxIdleUs;
-        for (Deque<Connection> idleToTarget : idleConnections.values()) {
-            while (!idleToTarget.isEmpty() && idleToTarget.peekLast().idleSinceUs <= idleSinceLimitUs) {
-                idleToTarget.pollLast().channel.close();
-            }
-        }
-        idleConnections.values().removeIf(Deque::isEmpty);
+        idleConnections.closeOld();
         FailureIsolation.forEach(log, "the check for a stalled backend connection", openConnections,
                 connection -> connection.closeIfStalled(clock.nowUs() - MAX_STALL_US), Connection::abort);
     }
 
     /** Closes all idle connections to a backend. */
     void closeIdle(Target target) {
-        Deque<Connection> idleToTarget = idleConnections.remove(target);
-        if (idleToTarget != null) {
-            idleToTarget.forEach(connection -> connection.channel.close());
-        }
+        idleConnections.closeAll(target);
     }
 
     /**
@@ -268,9 +247,9 @@
      */
     Handle send(Target target, OutgoingRequest request, Listener listener) {
         PendingRequest pending = new PendingRequest(request, listener);
-        Connection reused = takeIdle(target);
+        Connection reused = idleConnections.take(target);
         if (reused == null && openConnections.size() >= maxOpen) {
-            closeLongestIdle();
+            idleConnections.closeLongestIdle();
         }
         if (reused == null && openConnections.size() >= maxOpen) {
             log.line(Kind.BACKEND, "request to " + target.id()
@@ -294,34 +273,6 @@
         return pending;
     }
 
-    /** Makes room below the limit of open connections for a new one. */
-    private void closeLongestIdle() {
-        Connection longestIdle = null;
-        for (Deque<Connection> idleToTarget : idleConnections.values()) {
-            Connection candidate = idleToTarget.peekLast();
-            if (candidate != null
-                    && (longestIdle == null || candidate.idleSinceUs < longestIdle.idleSinceUs)) {
-                longestIdle = candidate;
-            }
-        }
-        if (longestIdle != null) {
-            idleConnections.get(longestIdle.target).remove(longestIdle);
-            longestIdle.channel.close();
-        }
-    }
-
-    private Connection takeIdle(Target target) {
-        Deque<Connection> idleToTarget = idleConnections.get(target);
-        while (idleToTarget != null && !idleToTarget.isEmpty()) {
-            Connection connection = idleToTarget.pollFirst();
-            if (connection.idleSinceUs > clock.nowUs() - maxIdleUs && connection.isUsable()) {
-                return connection;
-            }
-            connection.channel.close();
-        }
-        return null;
-    }
-
     private void connect(Target target, PendingRequest pending) {
         Connection connection = new Connection(target);
         connection.pending = pending;
@@ -485,7 +436,8 @@
     }
 
     /** A connection and the request that it carries, if any. */
-    private final class Connection extends SimpleChannelInboundHandler<HttpObject> {
+    private final class Connection extends SimpleChannelInboundHandler<HttpObject>
+            implements IdleConnections.Entry {
         private final Target target;
         private final ResponseDecoder decoder = new ResponseDecoder();
         private ResponseReader reader = new ResponseReader(transferBudget);
@@ -506,7 +458,7 @@
         Channel channel;
         /** The request that it carries; null if it is idle or its request was given up. */
         PendingRequest pending;
-        long idleSinceUs;
+        private long idleSinceUs;
         /** When bytes of a request body or of a streamed response were last transferred. */
         long lastProgressUs;
         /** Bytes of the streamed response that were given to its sink. */
@@ -528,7 +480,8 @@
          * after the previous response, may have been received in this iteration of the event loop and not
          * have been read yet.
          */
-        boolean isUsable() {
+        @Override
+        public boolean isUsable() {
             if (channel.isActive() && channel.unsafe() instanceof AbstractNioChannel.NioUnsafe socket) {
                 socket.read();
             }
@@ -613,8 +566,19 @@
             close();
         }
 
+        @Override
+        public Target target() {
+            return target;
+        }
+
+        @Override
+        public long idleSinceUs() {
+            return idleSinceUs;
+        }
+
         /** Closes the connection, which there is none of if creating its socket has thrown. */
-        private void close() {
+        @Override
+        public void close() {
             if (channel != null) {
                 Channels.close(channel);
             } else {
@@ -799,12 +763,7 @@
 
         private void returnToPool() {
             idleSinceUs = clock.nowUs();
-            Deque<Connection> idleToTarget = idleConnections
-                    .computeIfAbsent(target, absent -> new ArrayDeque<>());
-            idleToTarget.addFirst(this);
-            if (idleToTarget.size() > MAX_IDLE_PER_BACKEND || maxIdleUs <= 0) {
-                idleToTarget.pollLast().channel.close();
-            }
+            idleConnections.add(this);
         }
 
         @Override
@@ -813,10 +772,7 @@
                 writeDecodedParts();
                 reader.releaseBuffer();
             } finally {
-                Deque<Connection> idleToTarget = idleConnections.get(target);
-                if (idleToTarget != null) {
-                    idleToTarget.remove(this);
-                }
+                idleConnections.remove(this);
                 onConnectionLost();
             }
         }
