Fetch the full list again if the module throws on a list from discovery

Cause: what the module threw on a list was logged and dropped; discovery went on behind that list's version, so the module never got its changes. Change: the full list is fetched again, after the delay of a failed call, whether the proxy or the module throws.

--- a/src/main/java/passhatch/proxy/Discovery.java
+++ b/src/main/java/passhatch/proxy/Discovery.java
@@ -225,6 +225,18 @@
         }
     }
 
+    /**
+     * Fetches the full list after a delay, because one was received that could not be applied: its version
+     * must not be resumed from.
+     */
+    void fetchAgain() {
+        needsFullList = true;
+        if (currentCall != null && currentCall.channel != null) {
+            currentCall.hasFetchedFullList = false;
+            Channels.close(currentCall.channel);
+        }
+    }
+
     /** Guards against an error that drops the task which is to make the next call: nothing else would. */
     private void resumeIfAbandoned() {
         boolean callOpen = currentCall != null && !currentCall.isOver;
@@ -424,10 +436,8 @@
 
         /** Applies a list. One that cannot be applied is fetched again in full, or it would be lost. */
         private void applyList(EndpointList list) {
-            FailureIsolation.run(log, "the application of a list", () -> listener.onServerList(list), () -> {
-                needsFullList = true;
-                channel.close();
-            });
+            FailureIsolation.run(log, "the application of a list", () -> listener.onServerList(list),
+                    Discovery.this::fetchAgain);
         }
 
         @Override
--- a/src/main/java/passhatch/proxy/ProxyLoop.java
+++ b/src/main/java/passhatch/proxy/ProxyLoop.java
@@ -192,8 +192,8 @@
     @Override
     public void onServerList(EndpointList list) {
         updateBackends(list);
-        notifyModule(null, () -> balancer.serversChanged(clock.nowUs(),
-                list.full() ? ListKind.FULL : ListKind.CHANGES, list.servers()));
+        notifyModuleOrRecover(() -> balancer.serversChanged(clock.nowUs(),
+                list.full() ? ListKind.FULL : ListKind.CHANGES, list.servers()), discovery::fetchAgain);
         readiness.setListReceived();
     }
 
--- a/src/test/java/passhatch/proxy/OneFailureManyOwedTest.java
+++ b/src/test/java/passhatch/proxy/OneFailureManyOwedTest.java
@@ -29,6 +29,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import passhatch.Balancer;
+import passhatch.Balancer.ListKind;
 import passhatch.Balancer.Outcome;
 import passhatch.proxy.BackendPool.Handle;
 import passhatch.proxy.BackendPool.OutgoingRequest;
@@ -163,6 +164,28 @@
         assertTrue(timerCalls.await(HttpTestConnection.TIMEOUT_MS, TimeUnit.MILLISECONDS));
     }
 
+    // Guards against a list that the module never gets, because the next watch resumes behind its version.
+    @Test
+    void aListThatTheModuleThrowsOnIsFetchedAgain() throws Exception {
+        CountDownLatch lists = new CountDownLatch(2);
+        ScriptedServer discovery = rig.backend((connection, request) -> {
+            String list = Rig.list(8, true) + "\n";
+            if (request.startLine().contains("watch=1&from=7")) {
+                connection.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                        + Integer.toHexString(list.length()) + "\r\n" + list + "\r\n");
+            } else if (!request.startLine().contains("watch=1")) {
+                connection.respond("200 OK", list);
+            }
+        });
+        rig.module((settings, seed, actions) -> ScriptedModule.of((method, args) -> {
+            if (method.equals("serversChanged") && args[1] == ListKind.FULL) {
+                lists.countDown();
+                throw new IllegalStateException("by the test");
+            }
+        })).startWithoutList(discovery.address());
+        assertTrue(lists.await(HttpTestConnection.TIMEOUT_MS, TimeUnit.MILLISECONDS));
+    }
+
     /** A handle of a request that has ended leaves alone the request that its connection carries next. */
     @Test
     void theHandleOfAnEndedRequestDoesNothing() throws Exception {
