Count why client connections close, what is rejected, late answers and pauses in reading

Cause: the logs of the incident do not tell which connections were closed and why, which requests were rejected, how long reading was paused, or that a final answer was late.

--- a/src/main/java/passhatch/proxy/ClientConnection.java
+++ b/src/main/java/passhatch/proxy/ClientConnection.java
@@ -50,6 +50,24 @@
      */
     private static final long MAX_UNREAD_US = 200_000;
 
+    /** Why a connection was closed: the first reason there was. */
+    enum CloseReason {
+        /** The client closed it, or it broke. */
+        BY_CLIENT,
+        /** No request began on it for too long, or the proxy drains. */
+        IDLE,
+        /** Others needed its place. */
+        EVICTED,
+        /** A request on it was rejected. */
+        REJECTED,
+        /** Its last response said that it closes. */
+        AFTER_RESPONSE,
+        /** A response could not be given or completed. */
+        RESPONSE_FAILED,
+        /** An error in its handling, or no progress of a write. */
+        ERROR
+    }
+
     private final ClientServer server;
     private final Channel channel;
     private final RequestDecoder decoder = new RequestDecoder();
@@ -84,6 +102,8 @@
     private boolean lastResponseWritten;
     /** Whether the sending side is shut down and the client has not closed its side yet. */
     private boolean lingering;
+    /** Null while there is no reason of this process to close it. */
+    private CloseReason closeReason;
 
     /**
      * Creates the handler of a connection that has been accepted now.
@@ -113,8 +133,23 @@
         return server.proxy();
     }
 
+    /** Why it is closed, or was. */
+    CloseReason closeReason() {
+        return closeReason == null ? CloseReason.BY_CLIENT : closeReason;
+    }
+
+    private void noteCloseReason(CloseReason reason) {
+        closeReason = closeReason == null ? reason : closeReason;
+    }
+
+    /** Logs an event of this connection, with its client's address. */
+    private void logEvent(String message) {
+        server.logClientEvent(message + " (client " + channel.remoteAddress() + ")");
+    }
+
     /** Closes the connection at once, because a response cannot be given or completed. */
     void abort() {
+        noteCloseReason(CloseReason.RESPONSE_FAILED);
         inputDiscarded = true;
         channel.close();
     }
@@ -212,7 +247,7 @@
                 receiveRate.readingPaused(nowUs);
             }
             if (receiveRate.isTooSlow(nowUs, incompleteRequestStartUs())) {
-                server.logClientEvent("request refused with 408 Request Timeout: it is received too slowly");
+                logEvent("request refused with 408 Request Timeout: it is received too slowly");
                 rejectRequest(HttpResponseStatus.REQUEST_TIMEOUT);
             }
         } else if (isIdle()
@@ -249,6 +284,7 @@
 
     /** Closes the connection for a new one. A request that has arrived in part is answered with 408. */
     void evict() {
+        noteCloseReason(CloseReason.EVICTED);
         if (isReceivingRequest()) {
             rejectRequest(HttpResponseStatus.REQUEST_TIMEOUT);
         }
@@ -264,6 +300,7 @@
         if (!isIdle()) {
             return;
         }
+        noteCloseReason(CloseReason.IDLE);
         if (hasSentResponse()) {
             inputDiscarded = true;
             startLingering();
@@ -381,6 +418,9 @@
     /** Notes that all input has been read, unless reading is paused because the buffer is full. */
     private void clearUnreadUnlessFull() {
         if (!readAhead.isFull()) {
+            if (unreadSinceUs > 0) {
+                server.readingResumed(server.nowUs() - unreadSinceUs);
+            }
             unreadSinceUs = 0;
         }
     }
@@ -407,7 +447,7 @@
     /** Handles the next part of a request; accepts the request if it is complete or too long to buffer. */
     private void handlePart(HttpObject part, long receivedAtUs) {
         if (part instanceof HttpRequest && mayHaveMissedClose()) {
-            server.logClientEvent("request refused with 503 Service Unavailable: input was unread"
+            logEvent("request refused with 503 Service Unavailable: input was unread"
                     + " for too long to tell whether its client is still connected");
             rejectRequest(HttpResponseStatus.SERVICE_UNAVAILABLE);
             return;
@@ -416,8 +456,7 @@
         try {
             incoming = reader.read(part);
         } catch (RequestReader.UnreadableRequestException unreadable) {
-            server.logClientEvent("request refused with " + unreadable.status() + ": "
-                    + unreadable.getMessage());
+            logEvent("request refused with " + unreadable.status() + ": " + unreadable.getMessage());
             rejectRequest(unreadable.status());
             return;
         }
@@ -472,8 +511,9 @@
         try {
             dispatchRequest(request, incoming, receivedAtUs);
         } catch (RequestParser.InvalidRequestException invalid) {
-            server.logClientEvent("request refused with " + invalid.status() + ": " + invalid.getMessage());
+            logEvent("request refused with " + invalid.status() + ": " + invalid.getMessage());
             if (incoming.body().isComplete()) {
+                server.requestRejected(invalid.status());
                 request.respond(ProxyResponse.withStatus(invalid.status()));
             } else {
                 rejectRequest(invalid.status());
@@ -536,6 +576,8 @@
 
     /** Rejects the current request, after the responses to earlier ones, and discards further input. */
     private void rejectRequest(HttpResponseStatus status) {
+        server.requestRejected(status);
+        noteCloseReason(CloseReason.REJECTED);
         requestRejected = true;
         discardFurtherInput();
         incompleteSinceUs = 0;
@@ -632,6 +674,7 @@
 
     /** Closes the connection when the last response has been delivered; further input is discarded. */
     private void closeAfter(ChannelFuture written) {
+        noteCloseReason(CloseReason.AFTER_RESPONSE);
         if (incompleteRequest != null) {
             // The remainder of the request is read and discarded: a reset could overtake the response.
             incompleteRequest = null;
@@ -712,12 +755,13 @@
     /** Closes this connection on an error in its handlers; other connections are not affected. */
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-        server.logClientEvent("client connection failed and is closed: " + cause);
+        logEvent("client connection failed and is closed: " + cause);
         failAfterError();
     }
 
     /** Closes the connection after an error in its handling. */
     private void failAfterError() {
+        noteCloseReason(CloseReason.ERROR);
         if (requestRejected || lingering) {
             channel.close();
         } else {
--- a/src/main/java/passhatch/proxy/ClientConnections.java
+++ b/src/main/java/passhatch/proxy/ClientConnections.java
@@ -64,6 +64,7 @@
     private final Set<ClientConnection> provisional = new LinkedHashSet<>();
     private int maximum;
     private final long[] evictions = new long[EvictionReason.values().length];
+    private final long[] closes = new long[ClientConnection.CloseReason.values().length];
 
     /**
      * Creates a set without connections.
@@ -86,8 +87,11 @@
         connections.add(connection);
     }
 
+    /** Removes a connection that is closed, and counts why it is. */
     void remove(ClientConnection connection) {
-        connections.remove(connection);
+        if (connections.remove(connection)) {
+            closes[connection.closeReason().ordinal()]++;
+        }
         provisional.remove(connection);
     }
 
@@ -130,8 +134,8 @@
         log.line(Kind.EVICTION, connections.size() + " client connections are open, which is the maximum: "
                 + "closing one, as " + candidate.reason().text);
         evictions[candidate.reason().ordinal()]++;
-        remove(candidate.connection());
         candidate.connection().evict();
+        remove(candidate.connection());
     }
 
     private Candidate findCandidate(long nowUs) {
@@ -181,5 +185,8 @@
         for (EvictionReason reason : EvictionReason.values()) {
             sink.add("clients.evicted." + Metrics.lowerCase(reason), evictions[reason.ordinal()]);
         }
+        for (ClientConnection.CloseReason reason : ClientConnection.CloseReason.values()) {
+            sink.add("clients.closed." + Metrics.lowerCase(reason), closes[reason.ordinal()]);
+        }
     }
 }
--- a/src/main/java/passhatch/proxy/ClientServer.java
+++ b/src/main/java/passhatch/proxy/ClientServer.java
@@ -9,11 +9,14 @@
 import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioChannelOption;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.StandardSocketOptions;
 import java.util.Collection;
 import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
 import java.util.function.Consumer;
 import passhatch.proxy.EventLog.Kind;
 
@@ -61,8 +64,15 @@
     private long nextLoopCheckUs;
     /** Delay of the event loop found by the last check. */
     private long lastLoopDelayUs;
+    private long longestLoopDelayUs;
     /** Number of connections that were closed in the accept queue. */
     private long closedUnread;
+    /** Requests that were rejected before they reached the decision module, by status. */
+    private final Map<Integer, Long> rejections = new TreeMap<>(Map.of(400, 0L, 404, 0L, 408, 0L, 413, 0L,
+            417, 0L, 502, 0L, 503, 0L));
+    /** How often reading from a client was paused and went on, and the longest of these pauses. */
+    private long readingPauses;
+    private long longestReadingPauseUs;
 
     /**
      * Creates a server that does not listen yet.
@@ -184,6 +194,7 @@
     /** Measures the delay of the event loop, as the delay of this task. */
     private void checkLoopDelay() {
         lastLoopDelayUs = currentLoopDelayUs();
+        longestLoopDelayUs = Math.max(longestLoopDelayUs, lastLoopDelayUs);
         if (lastLoopDelayUs >= LOGGED_LOOP_DELAY_US) {
             log.line(Kind.STANDSTILL, "the event loop was blocked for " + lastLoopDelayUs / 1_000 + " ms");
         }
@@ -311,10 +322,25 @@
         return clock.nowUs();
     }
 
+    /** Counts a request that is rejected before it reaches the decision module. */
+    void requestRejected(HttpResponseStatus status) {
+        rejections.merge(status.code(), 1L, Long::sum);
+    }
+
+    /** Counts the end of a pause in reading from a client. */
+    void readingResumed(long pausedUs) {
+        readingPauses++;
+        longestReadingPauseUs = Math.max(longestReadingPauseUs, pausedUs);
+    }
+
     /** Adds the metrics of client connections. */
     void addMetrics(Metrics.Sink sink) {
         connections.addMetrics(sink);
         sink.add("clients.closed_unread", closedUnread);
+        rejections.forEach((status, count) -> sink.add("clients.rejected." + status, count));
+        sink.add("clients.reading_pauses", readingPauses);
+        sink.add("clients.reading_pause_ms_max", longestReadingPauseUs / 1_000);
+        sink.add("loop.delay_ms_max", longestLoopDelayUs / 1_000);
     }
 
     /** Returns a task that logs what the work throws, and then runs the recovery. */
--- a/src/main/java/passhatch/proxy/MemoryBudget.java
+++ b/src/main/java/passhatch/proxy/MemoryBudget.java
@@ -13,6 +13,8 @@
     private final int maxBytes;
     private int heldBytes;
     private int maxHeldBytes;
+    /** How often a reservation did not fit. */
+    private long failedReservations;
 
     /** Creates a budget of which nothing is used. */
     MemoryBudget(int maxBytes) {
@@ -22,6 +24,7 @@
     /** Counts the bytes as held; returns false and counts nothing if fewer are left. */
     boolean reserve(int bytes) {
         if (heldBytes + bytes > maxBytes) {
+            failedReservations++;
             return false;
         }
         hold(bytes);
@@ -54,6 +57,11 @@
         return heldBytes;
     }
 
+    /** How often a reservation did not fit. */
+    long failedReservations() {
+        return failedReservations;
+    }
+
     /** The most bytes that were held at a time. */
     int maxHeldBytes() {
         return maxHeldBytes;
--- a/src/main/java/passhatch/proxy/Metrics.java
+++ b/src/main/java/passhatch/proxy/Metrics.java
@@ -40,6 +40,8 @@
     private long dispatches;
     private long retries;
     private long refusedForMemory;
+    private long lateResponses;
+    private long longestLatenessUs;
     private final long[] gaveUpRequests = new long[GiveUpReason.values().length];
 
     Metrics(List<String> classes) {
@@ -67,6 +69,16 @@
         refusedForMemory++;
     }
 
+    /**
+     * Counts a final response that was given after its client's time.
+     *
+     * @param latenessUs how long after it, in microseconds
+     */
+    void responseLate(long latenessUs) {
+        lateResponses++;
+        longestLatenessUs = Math.max(longestLatenessUs, latenessUs);
+    }
+
     /** Counts a request that ended without a response of a server. */
     void requestGivenUp(GiveUpReason reason) {
         gaveUpRequests[reason.ordinal()]++;
@@ -97,6 +109,8 @@
             sink.add("gave_up." + lowerCase(reason), gaveUpRequests[reason.ordinal()]);
         }
         sink.add("memory.requests_refused", refusedForMemory);
+        sink.add("responses_late", lateResponses);
+        sink.add("responses_late_ms_max", longestLatenessUs / 1_000);
         sources.forEach(source -> source.accept(sink));
         return text.toString();
     }
--- a/src/main/java/passhatch/proxy/ProxyLoop.java
+++ b/src/main/java/passhatch/proxy/ProxyLoop.java
@@ -715,11 +715,21 @@
     /** Sends the final response, which must be the only one. */
     private void respond(Exchange exchange, ProxyResponse response) {
         metrics.requestEnded(exchange.request.requestClass(), response.category());
+        noteLateness(exchange);
         markResponded(exchange);
         FailureIsolation.run(log, "the response to a client", () -> exchange.responder.respond(response),
                 () -> abortConnection(exchange));
     }
 
+    private void noteLateness(Exchange exchange) {
+        long latenessUs = clock.nowUs() - exchange.deadlineUs - RESPONSE_MARGIN_US;
+        if (!exchange.incomplete && latenessUs > 0) {
+            metrics.responseLate(latenessUs);
+            log.line(Kind.REQUEST, "request " + exchange.request.id() + " is answered " + latenessUs / 1_000
+                    + " ms after its client's time" + exchange.describeAttempts());
+        }
+    }
+
     private void markResponded(Exchange exchange) {
         exchange.responded = true;
         if (exchange.fallbackTimer != null) {
--- a/src/main/java/passhatch/proxy/ProxyMemory.java
+++ b/src/main/java/passhatch/proxy/ProxyMemory.java
@@ -30,6 +30,8 @@
         sink.add("memory.input_bytes_max", input.maxHeldBytes());
         sink.add("memory.transfer_bytes", transfer.heldBytes());
         sink.add("memory.transfer_bytes_max", transfer.maxHeldBytes());
+        sink.add("memory.input_reservations_failed", input.failedReservations());
+        sink.add("memory.transfer_reservations_failed", transfer.failedReservations());
         sink.add("memory.direct_bytes", Math.max(0, PlatformDependent.usedDirectMemory()));
         sink.add("memory.heap_bytes", Runtime.getRuntime().totalMemory() - Runtime.getRuntime().freeMemory());
     }
