Failing test: heads of very many short fields end a deployed proxy

Change: lab pressure, which starts a proxy as deployed, holds what it can with some hundred clients, and tells what sound requests get; ClientPressureTest on it.

--- a/lab/src/main/java/passhatch/lab/Lab.java
+++ b/lab/src/main/java/passhatch/lab/Lab.java
@@ -16,6 +16,7 @@
             ControlCommand.class,
             LatencyCommand.class,
             SoakCommand.class,
+            PressureCommand.class,
         })
 public final class Lab {
 
--- /dev/null
+++ b/lab/src/main/java/passhatch/lab/pressure/PressureRun.java
@@ -0,0 +1,169 @@
+package passhatch.lab.pressure;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Queue;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.TimeUnit;
+import passhatch.lab.discovery.CallCosts;
+import passhatch.lab.discovery.DiscoveryListener;
+import passhatch.lab.discovery.DiscoveryServer;
+import passhatch.lab.discovery.Endpoint;
+import passhatch.lab.pressure.HttpCall.Ending;
+
+/** A deployed proxy with its servers and discovery, which a scenario puts under pressure. */
+public final class PressureRun implements Closeable {
+
+    /** The least that the deployments of this language are given, and what the pages name at most, in MB. */
+    static final int MEMORY_MB = 192;
+    static final int DESCRIPTORS = 1_024;
+    private static final int SERVERS = 7;
+    private static final int SOUND_REQUESTS = 100;
+    private static final Duration SOUND_PERIOD = Duration.ofSeconds(6);
+    private static final Duration SOUND_TIME = Duration.ofMillis(1_500);
+    private static final int SOUND_BODY_BYTES = 1_000;
+    /** Time for the clients that hold something to connect before the first sound request. */
+    private static final Duration HEAD_START = Duration.ofMillis(500);
+
+    private final PacedBackends backends;
+    private final DiscoveryServer discovery;
+    private final DeployedProxy.Deployment deployment;
+    private final List<DeployedProxy> proxies = new ArrayList<>();
+
+    /**
+     * Starts servers, discovery and a proxy, and waits until it is ready.
+     *
+     * @param root root directory of the project, with the service built
+     * @param memoryMb limit on memory in the proxy's configuration, in MB
+     */
+    public PressureRun(Path root, int memoryMb) throws IOException, InterruptedException {
+        backends = new PacedBackends(SERVERS);
+        List<Endpoint> endpoints = new ArrayList<>();
+        for (int i = 0; i < SERVERS; i++) {
+            endpoints.add(Endpoint.serving("s-" + i, DeployedProxy.hostAndPort(backends.addresses().get(i)),
+                    DeployedProxy.ZONE, DeployedProxy.MACHINE_TYPE, 0));
+        }
+        discovery = new DiscoveryServer(endpoints, CallCosts.NONE, false, DiscoveryListener.NONE);
+        deployment = new DeployedProxy.Deployment(root.toAbsolutePath(),
+                Files.createTempDirectory("pressure"), DeployedProxy.freeAddress(), discovery.address(),
+                memoryMb, DESCRIPTORS);
+        startProxy();
+    }
+
+    /** Starts a process of the proxy, beside an earlier one as in an upgrade, and waits until it is ready. */
+    DeployedProxy startProxy() throws IOException, InterruptedException {
+        DeployedProxy proxy = new DeployedProxy(deployment, proxies.size());
+        proxies.add(proxy);
+        proxy.awaitReady();
+        return proxy;
+    }
+
+    /** The process that was started first. */
+    DeployedProxy proxy() {
+        return proxies.get(0);
+    }
+
+    PacedBackends backends() {
+        return backends;
+    }
+
+    /** What became of the sound requests, and what the processes needed. */
+    public record Report(String scenario, int clients, int sound, Map<Ending, Integer> endings,
+            Map<Integer, Integer> statuses, boolean alive, List<Long> peakMemoryKb, String metrics,
+            String log) {
+
+        int count(Ending ending) {
+            return endings.getOrDefault(ending, 0);
+        }
+
+        /** The numbers in one line. */
+        public String summary() {
+            return scenario + " x" + clients + ": " + (alive ? "alive" : "ENDED") + ", of " + sound
+                    + " sound requests " + count(Ending.SERVED) + " served, " + count(Ending.NOT_SERVED)
+                    + " not served, " + count(Ending.LATE) + " late, " + count(Ending.CLOSED) + " closed "
+                    + statuses + ", peak memory " + peakMemoryKb + " kB";
+        }
+    }
+
+    /**
+     * Lets clients hold what they can while sound requests are sent.
+     *
+     * @param clients how many such clients there are at a time
+     * @param upgrade whether a second process starts meanwhile and gets the clients that come then
+     */
+    public Report hold(String scenario, int clients, boolean upgrade)
+            throws IOException, InterruptedException {
+        HoldingClient kind = HoldingClient.valueOf(scenario);
+        long endNs = System.nanoTime() + HEAD_START.plus(SOUND_PERIOD).toNanos();
+        List<Thread> threads = new ArrayList<>();
+        for (int i = 0; i < clients; i++) {
+            String name = "h" + i;
+            threads.add(DaemonThreads.start(() -> kind.holdRepeatedly(deployment.address(), name, endNs)));
+        }
+        TimeUnit.MILLISECONDS.sleep(HEAD_START.toMillis());
+        if (upgrade) {
+            startProxy();
+        }
+        Queue<HttpCall.Result> results = sendSoundRequests();
+        Map<Ending, Integer> endings = new EnumMap<>(Ending.class);
+        Map<Integer, Integer> statuses = new TreeMap<>();
+        for (HttpCall.Result result : results) {
+            endings.merge(result.ending(), 1, Integer::sum);
+            statuses.merge(result.status(), 1, Integer::sum);
+        }
+        List<Long> peaks = new ArrayList<>();
+        for (DeployedProxy proxy : proxies) {
+            peaks.add(proxy.memoryKb("VmHWM"));
+        }
+        boolean alive = proxies.stream().allMatch(DeployedProxy::isAlive);
+        Report report = new Report(scenario, clients, SOUND_REQUESTS, endings, statuses, alive, peaks,
+                proxy().metrics(), proxy().log());
+        for (Thread thread : threads) {
+            thread.interrupt();
+        }
+        return report;
+    }
+
+    /** Sends sound requests at a steady pace, half of them on new connections and some with a body. */
+    private Queue<HttpCall.Result> sendSoundRequests() throws InterruptedException {
+        Queue<HttpCall.Result> results = new ConcurrentLinkedQueue<>();
+        List<Thread> threads = new ArrayList<>();
+        for (int i = 0; i < SOUND_REQUESTS; i++) {
+            int number = i;
+            threads.add(DaemonThreads.start(() -> results.add(sendSoundRequest(number))));
+            TimeUnit.MILLISECONDS.sleep(SOUND_PERIOD.toMillis() / SOUND_REQUESTS);
+        }
+        for (Thread thread : threads) {
+            thread.join();
+        }
+        return results;
+    }
+
+    private HttpCall.Result sendSoundRequest(int number) {
+        long sentNs = System.nanoTime();
+        String id = "sound" + number;
+        try (HttpCall call = new HttpCall(deployment.address(), 0)) {
+            call.send(number % 2 == 0 ? HttpCall.get("/read/1", id, SOUND_TIME)
+                    : HttpCall.postHead("/book/1", id, SOUND_TIME, SOUND_BODY_BYTES)
+                            + "x".repeat(SOUND_BODY_BYTES));
+            return call.read(sentNs, SOUND_TIME, HttpCall.RESPONSE_SLACK);
+        } catch (IOException refused) {
+            return new HttpCall.Result(Ending.CLOSED, 0, 0);
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        proxies.forEach(DeployedProxy::close);
+        discovery.close();
+        backends.close();
+    }
+}
