--- a/lab/src/main/java/passhatch/lab/PressureCommand.java
+++ b/lab/src/main/java/passhatch/lab/PressureCommand.java
@@ -21,7 +21,7 @@
     private Path root;
 
     @Option(names = "--clients", defaultValue = "341",
-            description = "clients at a time; 341 are a third of 1,024 descriptors (default: ${DEFAULT-VALUE})")
+            description = "clients at a time; 341 are a third of the descriptors (default: ${DEFAULT-VALUE})")
     private int clients;
 
     @Option(names = "--memory-mb", defaultValue = "192", description = "limit on memory in the configuration")
--- a/lab/src/main/java/passhatch/lab/pressure/HoldingClient.java
+++ b/lab/src/main/java/passhatch/lab/pressure/HoldingClient.java
@@ -21,7 +21,8 @@
         void hold(HttpCall call, String id) throws IOException, InterruptedException {
             String head = UNFINISHED_HEAD.formatted(id);
             for (int piece = 0; piece < PIECES; piece++) {
-                call.send(head.substring(head.length() * piece / PIECES, head.length() * (piece + 1) / PIECES));
+                int from = head.length() * piece / PIECES;
+                call.send(head.substring(from, head.length() * (piece + 1) / PIECES));
                 TimeUnit.MILLISECONDS.sleep(2_000 / PIECES);
             }
             readUntilClosed(call, Duration.ofSeconds(10));
--- a/lab/src/main/java/passhatch/lab/pressure/HttpCall.java
+++ b/lab/src/main/java/passhatch/lab/pressure/HttpCall.java
@@ -58,9 +58,10 @@
 
     /** The head of a POST; a negative length means chunks. */
     static String postHead(String path, String id, Duration time, long length) {
+        String key = path.startsWith("/book") ? "Idempotency-Key: " + id + "\r\n" : "";
+        String framing = length < 0 ? "Transfer-Encoding: chunked" : "Content-Length: " + length;
         return "POST " + path + " HTTP/1.1\r\nHost: p\r\nX-Request-Id: " + id + "\r\nX-Deadline: "
-                + time.toMillis() + "m\r\n" + (path.startsWith("/book") ? "Idempotency-Key: " + id + "\r\n" : "")
-                + (length < 0 ? "Transfer-Encoding: chunked\r\n\r\n" : "Content-Length: " + length + "\r\n\r\n");
+                + time.toMillis() + "m\r\n" + key + framing + "\r\n\r\n";
     }
 
     void send(String text) throws IOException {
--- a/lab/src/main/java/passhatch/lab/pressure/PacedBackends.java
+++ b/lab/src/main/java/passhatch/lab/pressure/PacedBackends.java
@@ -25,8 +25,8 @@
  *
  * <p>Query parameters: {@code length}, body bytes of the response; {@code framing}, {@code length},
  * {@code chunked} or {@code close}; {@code rate}, bytes a second that are written; {@code pauseAt} and
- * {@code pauseMs}, a pause after so many bytes; {@code readRate}, bytes a second that are read of the request;
- * {@code serviceMs}, time before the response.
+ * {@code pauseMs}, a pause after so many bytes; {@code readRate}, bytes a second that are read of the
+ * request; {@code serviceMs}, time before the response.
  */
 final class PacedBackends implements Closeable {
 
