Bound what is decoded and run for a connection before others get their turn

Seen by callers: beside 341 clients with requests of thirty bytes, or chunks of one byte, 19 to 27 and 24 to 42 of 100 sound requests were served, the rest given up for want of time.

Cause: one read was decoded whole, over a thousand requests or four thousand chunks, however full the read-ahead buffer was; and Netty's event loop ran queued tasks for up to a second before it looked at sockets and timers again.

Change: the decoder pauses once 64 parts were decoded in a turn or the buffer is full; what it holds stays bytes.

--- a/lab/src/test/java/passhatch/lab/pressure/ClientPressureTest.java
+++ b/lab/src/test/java/passhatch/lab/pressure/ClientPressureTest.java
@@ -34,4 +34,11 @@
     void headsOfManyShortFieldsDoNotFillTheHeap(String scenario) throws Exception {
         assertSoundRequestsAreServed(scenario);
     }
+
+    // Guards against the decoded parts of one read, a thousand and more, that kept others from their turn.
+    @ParameterizedTest
+    @ValueSource(strings = {"SHORT_REQUESTS", "ONE_BYTE_CHUNKS"})
+    void manySmallPartsLeaveOthersTheirTurn(String scenario) throws Exception {
+        assertSoundRequestsAreServed(scenario);
+    }
 }
--- a/src/main/java/passhatch/proxy/ClientConnection.java
+++ b/src/main/java/passhatch/proxy/ClientConnection.java
@@ -36,6 +36,11 @@
 
     /** Unanswered complete requests of a connection beyond which no more of its input is handled. */
     private static final int MAX_PIPELINED_REQUESTS = 4;
+    /**
+     * Parts of requests that are decoded for a connection before others get their turn: one read may bring
+     * more than a thousand.
+     */
+    private static final int MAX_PARTS_PER_TURN = 64;
     /** How long input is read after the last response, so that no reset overtakes that response. */
     private static final long LINGER_TIMEOUT_MS = 200;
     /** How much input is read after the last response before the connection is closed. */
@@ -88,6 +93,8 @@
     private long lastResponseAtUs;
     /** Whether a task of the event loop is scheduled that handles buffered input. */
     private boolean handlingScheduled;
+    /** Parts that were decoded since the connection last had its turn. */
+    private int partsThisTurn;
     /** Since when input of the client may be unread; 0 if all of it has been read. */
     private long unreadSinceUs;
     /** Whether further input is discarded: the connection closes after the responses to open requests. */
@@ -347,16 +354,44 @@
             return;
         }
         readAhead.add(part, server.nowUs() - queueTimeUs);
-        if (readAhead.isFull()) {
-            channel.config().setAutoRead(false);
-            unreadSinceUs = unreadSinceUs == 0 ? server.nowUs() : unreadSinceUs;
+        partsThisTurn++;
+        if (readAhead.isFull() || partsThisTurn >= MAX_PARTS_PER_TURN) {
+            pauseInput();
+        }
+    }
+
+    /** Neither reads nor decodes more input until {@link #resumeInput}. */
+    private void pauseInput() {
+        decoder.pause();
+        channel.config().setAutoRead(false);
+        unreadSinceUs = unreadSinceUs == 0 ? server.nowUs() : unreadSinceUs;
+    }
+
+    /** Decodes input that has been read, and reads on if that leaves room for more. */
+    private void resumeInput() {
+        try {
+            decoder.resume();
+        } catch (Exception e) {
+            channel.pipeline().fireExceptionCaught(e);
+            return;
+        }
+        updateIncompleteSince();
+        if (!readAhead.isEmpty()) {
+            scheduleHandling();
+        }
+        if (!decoder.isPaused() && !channel.config().isAutoRead()) {
+            channel.config().setAutoRead(true);
+            // The task runs after the event loop has read the input that is there. If there is none,
+            // channelReadComplete is not called.
+            channel.eventLoop().schedule(this::clearUnreadUnlessPaused, 1, TimeUnit.MILLISECONDS);
         }
     }
 
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
         queueTimeUs = 0;
-        clearUnreadUnlessFull();
+        partsThisTurn = 0;
+        clearUnreadUnlessPaused();
         updateIncompleteSince();
         scheduleHandling();
         ctx.fireChannelReadComplete();
@@ -407,17 +442,15 @@
             scheduleHandling();
         }
         updateIncompleteSince();
-        if (!readAhead.isFull() && !inputDiscarded && !channel.config().isAutoRead()) {
-            channel.config().setAutoRead(true);
-            // The task runs after the event loop has read the input that is there. If there is none,
-            // channelReadComplete is not called.
-            channel.eventLoop().schedule(this::clearUnreadUnlessFull, 1, TimeUnit.MILLISECONDS);
+        partsThisTurn = 0;
+        if (!readAhead.isFull() && !inputDiscarded) {
+            resumeInput();
         }
     }
 
-    /** Notes that all input has been read, unless reading is paused because the buffer is full. */
-    private void clearUnreadUnlessFull() {
-        if (!readAhead.isFull()) {
+    /** Notes that all input has been read, unless reading is paused. */
+    private void clearUnreadUnlessPaused() {
+        if (!decoder.isPaused()) {
             if (unreadSinceUs > 0) {
                 server.readingResumed(server.nowUs() - unreadSinceUs);
             }
@@ -442,6 +475,11 @@
         if (channel.isOpen() && !lastResponseWritten) {
             channel.config().setAutoRead(true);
         }
+        if (decoder.isPaused()) {
+            // In a later task, as the decoder may be on the stack; what it holds is discarded then.
+            channel.eventLoop().execute(server.isolated("the discarding of input", this::resumeInput,
+                    channel::close));
+        }
     }
 
     /** Handles the next part of a request; accepts the request if it is complete or too long to buffer. */
@@ -647,7 +685,7 @@
      * closes it.
      */
     private boolean keepsAlive(PipelinedRequest request) {
-        boolean isLast = readAhead.isEmpty()
+        boolean isLast = readAhead.isEmpty() && !decoder.isPaused()
                 && (requests.isEmpty() || requests.size() == 1 && requests.peek() == request);
         return request.isKeepAlive() && request != incompleteRequest
                 && !(isLast && (requestRejected || server.closesAfterLastResponse()));
--- a/src/main/java/passhatch/proxy/ProxyServer.java
+++ b/src/main/java/passhatch/proxy/ProxyServer.java
@@ -3,7 +3,6 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.io.PrintStream;
 import java.net.InetSocketAddress;
@@ -85,8 +84,7 @@
 
     private ProxyServer(ProxyConfig config, EventLog log, Runnable onLoopFailure) {
         this.log = log;
-        this.group = new MultiThreadIoEventLoopGroup(1,
-                new EventLoopThreadFactory(() -> !terminating, onLoopFailure), NioIoHandler.newFactory());
+        this.group = new FairEventLoopGroup(new EventLoopThreadFactory(() -> !terminating, onLoopFailure));
         this.loop = group.next();
         this.longestDeadlineMs = TimeUnit.MICROSECONDS.toMillis(config.settings().classes().stream()
                 .mapToLong(RequestClass::deadlineUs).max().orElseThrow());
--- a/src/main/java/passhatch/proxy/RequestDecoder.java
+++ b/src/main/java/passhatch/proxy/RequestDecoder.java
@@ -1,9 +1,16 @@
 package passhatch.proxy;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequestDecoder;
+import java.util.List;
 
-/** Netty's HTTP request decoder, extended to tell whether it holds part of a request. */
+/**
+ * Netty's HTTP request decoder, extended to tell whether it holds part of a request, and to pause: one read
+ * may bring hundreds of requests, which take far more memory and time decoded than as bytes.
+ */
 final class RequestDecoder extends HttpRequestDecoder {
 
     /** Maximum size of a piece of a body that is passed on. */
@@ -13,6 +20,8 @@
     private long startedHeads;
     /** Number of request heads that the next handler has received. */
     private long deliveredHeads;
+    private boolean paused;
+    private ChannelHandlerContext context;
 
     /** Creates a decoder that passes bodies on in pieces as large as they are read, up to its maximum. */
     RequestDecoder() {
@@ -39,4 +48,35 @@
     boolean hasUndeliveredBytes() {
         return actualReadableBytes() > 0 || startedHeads > deliveredHeads;
     }
+
+    @Override
+    public void handlerAdded(ChannelHandlerContext ctx) throws Exception {
+        super.handlerAdded(ctx);
+        context = ctx;
+    }
+
+    @Override
+    protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) throws Exception {
+        if (!paused) {
+            super.decode(ctx, in, out);
+        }
+    }
+
+    /** Decodes nothing more until {@link #resume}; the caller makes sure that nothing more is read. */
+    void pause() {
+        paused = true;
+    }
+
+    boolean isPaused() {
+        return paused;
+    }
+
+    /** Decodes what has been received, until it is paused again. */
+    void resume() throws Exception {
+        if (paused) {
+            paused = false;
+            // An empty read has the decoder look at the bytes that it holds.
+            channelRead(context, Unpooled.EMPTY_BUFFER);
+        }
+    }
 }
