Have the client that has held most memory for longest give way when it is used up

Seen by callers: 503 for sound requests, small ones too, while clients that had sent half of a request kept the memory for bodies until their time-out.

Cause: whoever came when the budget was used up was refused, whoever held it; heads in the decoder, undecoded bytes and the parts of long bodies that wait for a server were not counted.

Change: each connection has an account (MemoryAccount) for all its input, from the decoder on. An eighth of the budget is left to connections that hold 8 KiB at most. When a reservation does not fit, the incomplete request with the largest product of bytes and time is rejected with 503; it was never forwarded whole. While memory is scarce a connection is read ahead by 8 KiB only and body buffers do not grow by doubling.

--- a/src/main/java/passhatch/proxy/ClientConnection.java
+++ b/src/main/java/passhatch/proxy/ClientConnection.java
@@ -76,6 +76,9 @@
     private final ClientServer server;
     private final Channel channel;
     private final RequestDecoder decoder = new RequestDecoder();
+    private final MemoryAccount memory;
+    /** Bytes of the account that the decoder's undelivered input takes. */
+    private int undeliveredBytes;
     private final RequestReader reader;
     private final ReadAheadBuffer readAhead;
     /** Requests whose responses are not written completely, in the order of arrival. */
@@ -122,8 +125,9 @@
         this.channel = channel;
         this.transfers = new TransferMonitor(clock);
         this.queueTimeUs = queueTimeUs;
-        this.reader = new RequestReader(server.memory().input());
-        this.readAhead = new ReadAheadBuffer(server.memory().input());
+        this.memory = new MemoryAccount(server.memory().input(), clock, server::reclaimMemory);
+        this.reader = new RequestReader(memory);
+        this.readAhead = new ReadAheadBuffer(memory);
         this.connectedAtUs = clock.nowUs() - queueTimeUs;
     }
 
@@ -228,6 +232,17 @@
                 || requests.size() == 1 && incompleteRequest != null && !incompleteRequest.isStreamed());
     }
 
+    /** What it holds of the memory for client input. */
+    MemoryAccount memory() {
+        return memory;
+    }
+
+    /** Rejects the request that is received, as others need the memory that it holds. */
+    void giveUpMemory() {
+        logEvent("request refused with 503 Service Unavailable: it has held memory that others need");
+        rejectRequest(HttpResponseStatus.SERVICE_UNAVAILABLE);
+    }
+
     /** Whether its only open request arrives too slowly to keep a place that others need. */
     boolean isTooSlowIfContended(long nowUs) {
         return isReceivingRequest() && !reader.isBodyFull() && receiveRate.isTooSlowIfContended(nowUs,
@@ -376,6 +391,7 @@
             return;
         }
         updateIncompleteSince();
+        accountForUndelivered();
         if (!readAhead.isEmpty()) {
             scheduleHandling();
         }
@@ -393,10 +409,25 @@
         partsThisTurn = 0;
         clearUnreadUnlessPaused();
         updateIncompleteSince();
+        accountForUndelivered();
         scheduleHandling();
         ctx.fireChannelReadComplete();
     }
 
+    /** Counts the memory that the decoder holds; rejects its request if there is none left. */
+    private void accountForUndelivered() {
+        int addedBytes = (inputDiscarded ? 0 : decoder.heldBytes()) - undeliveredBytes;
+        if (addedBytes <= 0) {
+            memory.release(-addedBytes);
+            undeliveredBytes += addedBytes;
+        } else if (memory.reserve(addedBytes)) {
+            undeliveredBytes += addedBytes;
+        } else if (readAhead.isEmpty() && !decoder.isPaused()) {
+            logEvent("request refused with 503 Service Unavailable: the memory for heads is exhausted");
+            rejectRequest(HttpResponseStatus.SERVICE_UNAVAILABLE);
+        }
+    }
+
     /** Whether input has been unread for so long that the client may have closed the connection unnoticed. */
     private boolean mayHaveMissedClose() {
         return unreadSinceUs > 0 && server.nowUs() - unreadSinceUs > MAX_UNREAD_US;
@@ -467,6 +498,8 @@
     /** Discards buffered input and all that is still to come. */
     private void discardFurtherInput() {
         inputDiscarded = true;
+        memory.release(undeliveredBytes);
+        undeliveredBytes = 0;
         while (!readAhead.isEmpty()) {
             HttpObject part = readAhead.poll().part();
             discardPart(part);
@@ -743,6 +776,8 @@
                 request -> { });
         reader.discardIncomplete();
         readAhead.releaseAll();
+        memory.release(undeliveredBytes);
+        undeliveredBytes = 0;
         incompleteSinceUs = 0;
     }
 
--- a/src/main/java/passhatch/proxy/ClientConnections.java
+++ b/src/main/java/passhatch/proxy/ClientConnections.java
@@ -64,6 +64,8 @@
     private final Set<ClientConnection> provisional = new LinkedHashSet<>();
     private int maximum;
     private final long[] evictions = new long[EvictionReason.values().length];
+    /** Requests that were rejected because others needed the memory that they held. */
+    private long gaveUpMemory;
     private final long[] closes = new long[ClientConnection.CloseReason.values().length];
 
     /**
@@ -138,6 +140,30 @@
         remove(candidate.connection());
     }
 
+    /**
+     * Rejects the incomplete request that has held most memory for longest.
+     *
+     * @param requester the account for which memory is needed
+     * @return false if that request is the requester's own, or there is none that holds much
+     */
+    boolean reclaimMemory(MemoryAccount requester) {
+        ClientConnection heaviest = null;
+        double maxWeight = requester.weight();
+        for (ClientConnection connection : connections) {
+            double weight = connection.memory().weight();
+            if (weight > maxWeight && connection.memory() != requester && connection.isReceivingRequest()) {
+                heaviest = connection;
+                maxWeight = weight;
+            }
+        }
+        if (heaviest == null) {
+            return false;
+        }
+        gaveUpMemory++;
+        heaviest.giveUpMemory();
+        return true;
+    }
+
     private Candidate findCandidate(long nowUs) {
         Candidate best = null;
         for (ClientConnection connection : connections) {
@@ -182,6 +208,7 @@
     void addMetrics(Metrics.Sink sink) {
         sink.add("clients.connections", connections.size());
         sink.add("clients.connections_limit", maximum);
+        sink.add("memory.requests_reclaimed", gaveUpMemory);
         for (EvictionReason reason : EvictionReason.values()) {
             sink.add("clients.evicted." + Metrics.lowerCase(reason), evictions[reason.ordinal()]);
         }
--- a/src/main/java/passhatch/proxy/ClientServer.java
+++ b/src/main/java/passhatch/proxy/ClientServer.java
@@ -322,6 +322,11 @@
         return clock.nowUs();
     }
 
+    /** Has the connection that holds most for longest give way; false if that is the one that asks. */
+    boolean reclaimMemory(MemoryAccount requester) {
+        return connections.reclaimMemory(requester);
+    }
+
     /** Counts a request that is rejected before it reaches the decision module. */
     void requestRejected(HttpResponseStatus status) {
         rejections.merge(status.code(), 1L, Long::sum);
--- a/src/main/java/passhatch/proxy/MemoryBudget.java
+++ b/src/main/java/passhatch/proxy/MemoryBudget.java
@@ -5,11 +5,14 @@
  * hold little, but there may be many connections, and together they have to fit into the memory of the
  * process. Not thread-safe: used by the event loop only.
  */
-final class MemoryBudget {
+final class MemoryBudget implements MemorySource {
 
     /** Most bytes that one read from a socket brings while the budget is scarce. */
     static final int SCARCE_READ_BYTES = 1 << 12;
 
+    /** The budget divided by this is left to holders of little. */
+    private static final int SMALL_SHARE_DIVISOR = 8;
+
     private final int maxBytes;
     private int heldBytes;
     private int maxHeldBytes;
@@ -21,9 +24,18 @@
         this.maxBytes = maxBytes;
     }
 
-    /** Counts the bytes as held; returns false and counts nothing if fewer are left. */
-    boolean reserve(int bytes) {
-        if (heldBytes + bytes > maxBytes) {
+    @Override
+    public boolean reserve(int bytes) {
+        return reserveUpTo(maxBytes, bytes);
+    }
+
+    /** Reserves bytes for a holder of much, which has to leave some of the budget to holders of little. */
+    boolean reserveLarge(int bytes) {
+        return reserveUpTo(maxBytes - maxBytes / SMALL_SHARE_DIVISOR, bytes);
+    }
+
+    private boolean reserveUpTo(int limitBytes, int bytes) {
+        if (heldBytes + bytes > limitBytes) {
             failedReservations++;
             return false;
         }
@@ -31,19 +43,20 @@
         return true;
     }
 
-    /** Counts bytes that are held already, also beyond the limit. */
-    void hold(int bytes) {
+    @Override
+    public void hold(int bytes) {
         heldBytes += bytes;
         maxHeldBytes = Math.max(maxHeldBytes, heldBytes);
     }
 
-    /** Gives back bytes that were counted as held before. */
-    void release(int bytes) {
+    @Override
+    public void release(int bytes) {
         heldBytes -= bytes;
     }
 
-    /** Whether half of the budget is used, so that whoever holds something should not read more. */
-    boolean isScarce() {
+    /** Whether half of the budget is used. */
+    @Override
+    public boolean isScarce() {
         return heldBytes >= maxBytes / 2;
     }
 
--- a/src/main/java/passhatch/proxy/ReadAheadBuffer.java
+++ b/src/main/java/passhatch/proxy/ReadAheadBuffer.java
@@ -17,12 +17,14 @@
 final class ReadAheadBuffer {
 
     private static final int MAX_BUFFERED_BYTES = 1 << 18;
+    /** The same while memory is scarce. */
+    private static final int MAX_SCARCE_BYTES = 1 << 13;
     /** Approximate memory taken by the head of a request, without the characters of its texts. */
     private static final int ESTIMATED_HEAD_OVERHEAD_BYTES = 1 << 9;
     /** Approximate memory taken by the objects around each header of a request. */
     private static final int ESTIMATED_HEADER_OVERHEAD_BYTES = 1 << 7;
     /** Approximate memory taken by the objects around each piece of a body. */
-    private static final int ESTIMATED_CHUNK_OVERHEAD_BYTES = 1 << 6;
+    private static final int ESTIMATED_CHUNK_OVERHEAD_BYTES = 192;
 
     /**
      * A part of a request.
@@ -32,15 +34,15 @@
      */
     record ReceivedPart(HttpObject part, long receivedAtUs, int estimatedBytes) { }
 
-    private final MemoryBudget budget;
+    private final MemorySource memory;
     /** In the order of arrival. */
     private final ArrayDeque<ReceivedPart> parts = new ArrayDeque<>();
     private int bufferedBytes;
     private int reservedBytes;
 
-    /** Creates an empty buffer that reserves its memory from a budget shared by all connections. */
-    ReadAheadBuffer(MemoryBudget budget) {
-        this.budget = budget;
+    /** Creates an empty buffer that reserves its memory from the source. */
+    ReadAheadBuffer(MemorySource memory) {
+        this.memory = memory;
     }
 
     /** Retains the part and appends it, also when the buffer is full. */
@@ -49,7 +51,7 @@
                 estimatedBytes(part));
         parts.add(received);
         bufferedBytes += received.estimatedBytes();
-        if (budget.reserve(bufferedBytes - reservedBytes)) {
+        if (memory.reserve(bufferedBytes - reservedBytes)) {
             reservedBytes = bufferedBytes;
         }
     }
@@ -58,15 +60,16 @@
         if (part instanceof HttpContent content) {
             return ESTIMATED_CHUNK_OVERHEAD_BYTES + content.content().readableBytes();
         }
-        int bytes = ESTIMATED_HEAD_OVERHEAD_BYTES;
-        if (part instanceof HttpRequest head) {
-            bytes += head.uri().length();
-            Iterator<Map.Entry<CharSequence, CharSequence>> headers = head.headers().iteratorCharSequence();
-            while (headers.hasNext()) {
-                Map.Entry<CharSequence, CharSequence> header = headers.next();
-                bytes += ESTIMATED_HEADER_OVERHEAD_BYTES + header.getKey().length()
-                        + header.getValue().length();
-            }
+        return part instanceof HttpRequest head ? estimatedHeadBytes(head) : ESTIMATED_HEAD_OVERHEAD_BYTES;
+    }
+
+    /** Approximate memory taken by the head of a request, in bytes. */
+    static int estimatedHeadBytes(HttpRequest head) {
+        int bytes = ESTIMATED_HEAD_OVERHEAD_BYTES + head.uri().length();
+        Iterator<Map.Entry<CharSequence, CharSequence>> headers = head.headers().iteratorCharSequence();
+        while (headers.hasNext()) {
+            Map.Entry<CharSequence, CharSequence> header = headers.next();
+            bytes += ESTIMATED_HEADER_OVERHEAD_BYTES + header.getKey().length() + header.getValue().length();
         }
         return bytes;
     }
@@ -85,9 +88,10 @@
         return parts.isEmpty();
     }
 
-    /** Whether reading must pause: this buffer, or the budget shared by all connections, is exhausted. */
+    /** Whether reading must pause: this buffer is full, or the memory for the input of all connections is. */
     boolean isFull() {
-        return bufferedBytes > MAX_BUFFERED_BYTES || bufferedBytes > reservedBytes;
+        return bufferedBytes > (memory.isScarce() ? MAX_SCARCE_BYTES : MAX_BUFFERED_BYTES)
+                || bufferedBytes > reservedBytes;
     }
 
     /** Releases and removes all parts. */
@@ -100,6 +104,6 @@
 
     private void releaseReservation(int bytes) {
         reservedBytes -= bytes;
-        budget.release(bytes);
+        memory.release(bytes);
     }
 }
--- a/src/main/java/passhatch/proxy/RequestBody.java
+++ b/src/main/java/passhatch/proxy/RequestBody.java
@@ -38,12 +38,12 @@
         void bodyDiscarded();
     }
 
-    private final MemoryBudget budget;
+    private final MemorySource memory;
     private final long declaredLength;
     private Source source;
     private byte[] buffer = {};
     private int bufferedBytes;
-    /** Bytes reserved in the budget, which is the capacity of the buffer. */
+    /** Bytes reserved for the buffer, which are its capacity. */
     private int reservedBytes;
     /**
      * Parts that did not fit the buffer, until there is a receiver. As reading pauses then, they are no more
@@ -63,8 +63,8 @@
      *
      * @param declaredLength length in bytes according to the request's head, or -1 if it is not known
      */
-    RequestBody(MemoryBudget budget, long declaredLength) {
-        this.budget = budget;
+    RequestBody(MemorySource memory, long declaredLength) {
+        this.memory = memory;
         this.declaredLength = declaredLength;
     }
 
@@ -92,7 +92,7 @@
         return exceedsBuffer() && (receiver == null || !receiver.isWritable());
     }
 
-    /** Adds a part and forwards it if there is a receiver; false if the memory budget is used up. */
+    /** Adds a part and forwards it if there is a receiver; false if there is no memory for it. */
     boolean add(ByteBuf part) {
         int partBytes = part.readableBytes();
         if (dropped || partBytes == 0) {
@@ -110,15 +110,16 @@
             return true;
         }
         overflow.add(part.retain());
+        memory.hold(partBytes);
         writeOverflow();
         return true;
     }
 
     private boolean reserve(int neededBytes) {
         if (neededBytes > reservedBytes) {
-            int capacityBytes = Math.min(MAX_BUFFERED_BYTES,
-                    Math.max(Math.max(INITIAL_CAPACITY_BYTES, neededBytes), reservedBytes * 2));
-            if (!budget.reserve(capacityBytes - reservedBytes)) {
+            int spareBytes = memory.isScarce() ? 0 : Math.max(INITIAL_CAPACITY_BYTES, reservedBytes * 2);
+            int capacityBytes = Math.min(MAX_BUFFERED_BYTES, Math.max(neededBytes, spareBytes));
+            if (!memory.reserve(capacityBytes - reservedBytes)) {
                 return false;
             }
             reservedBytes = capacityBytes;
@@ -185,7 +186,9 @@
         boolean anyWritten = false;
         while (receiver != null && !overflow.isEmpty()) {
             anyWritten = true;
-            receiver.write(overflow.poll());
+            ByteBuf part = overflow.poll();
+            memory.release(part.readableBytes());
+            receiver.write(part);
         }
         if (anyWritten && !discarded) {
             discarded = true;
@@ -197,7 +200,7 @@
     }
 
     private void releaseBuffer() {
-        budget.release(reservedBytes);
+        memory.release(reservedBytes);
         reservedBytes = 0;
         buffer = new byte[0];
         bufferedBytes = 0;
@@ -207,7 +210,10 @@
     void drop() {
         dropped = true;
         receiver = null;
-        overflow.forEach(ByteBuf::release);
+        for (ByteBuf part : overflow) {
+            memory.release(part.readableBytes());
+            part.release();
+        }
         overflow.clear();
         releaseBuffer();
     }
--- a/src/main/java/passhatch/proxy/RequestDecoder.java
+++ b/src/main/java/passhatch/proxy/RequestDecoder.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestDecoder;
 import java.util.List;
 
@@ -20,6 +21,8 @@
     private long startedHeads;
     /** Number of request heads that the next handler has received. */
     private long deliveredHeads;
+    /** The latest head whose first line has been decoded; null before the first one. */
+    private HttpMessage startedHead;
     private boolean paused;
     private ChannelHandlerContext context;
 
@@ -36,7 +39,8 @@
     @Override
     protected HttpMessage createMessage(String[] initialLine) throws Exception {
         startedHeads++;
-        return super.createMessage(initialLine);
+        startedHead = super.createMessage(initialLine);
+        return startedHead;
     }
 
     /** Tells the decoder that the next handler has received a request head. */
@@ -44,6 +48,13 @@
         deliveredHeads++;
     }
 
+    /** Approximate memory held for input that the next handler has not received, in bytes. */
+    int heldBytes() {
+        boolean hasHead = startedHeads > deliveredHeads && startedHead instanceof HttpRequest;
+        int headBytes = hasHead ? ReadAheadBuffer.estimatedHeadBytes((HttpRequest) startedHead) : 0;
+        return actualReadableBytes() + headBytes;
+    }
+
     /** Whether the decoder holds bytes of a request whose head the next handler has not received yet. */
     boolean hasUndeliveredBytes() {
         return actualReadableBytes() > 0 || startedHeads > deliveredHeads;
--- a/src/main/java/passhatch/proxy/RequestReader.java
+++ b/src/main/java/passhatch/proxy/RequestReader.java
@@ -19,14 +19,14 @@
     /** Maximum size of a body; a request with a larger one is rejected with status 413. */
     static final long MAX_BODY_BYTES = 32L << 20;
 
-    private final MemoryBudget budget;
+    private final MemorySource memory;
     /** The request that is being received; null if there is none. */
     private IncomingRequest current;
     private long receivedBodyBytes;
 
-    /** Creates a reader whose request bodies reserve their memory from the given budget. */
-    RequestReader(MemoryBudget budget) {
-        this.budget = budget;
+    /** Creates a reader whose request bodies reserve their memory from the source. */
+    RequestReader(MemorySource memory) {
+        this.memory = memory;
     }
 
     /** A request whose head has been received; its body may be incomplete. */
@@ -64,7 +64,7 @@
         if (part instanceof HttpRequest request) {
             checkHead(request);
             current = new IncomingRequest(request,
-                    new RequestBody(budget, HttpUtil.getContentLength(request, -1L)));
+                    new RequestBody(memory, HttpUtil.getContentLength(request, -1L)));
             receivedBodyBytes = 0;
         }
         IncomingRequest incoming = current;
--- a/src/test/java/passhatch/proxy/MemoryBudgetTest.java
+++ b/src/test/java/passhatch/proxy/MemoryBudgetTest.java
@@ -194,6 +194,30 @@
         }
     }
 
+    // Guards against half requests that keep the memory for bodies, so that whoever came later was refused.
+    @Test
+    void halfRequestsGiveWayToLaterOnes() throws Exception {
+        int halfBytes = 30_000;
+        int inputBytes = 1 << 20;
+        memory = new ProxyMemory(new MemoryBudget(inputBytes), new MemoryBudget(BUDGET_BYTES));
+        try (Rig rig = new Rig(folder).memory(memory)) {
+            rig.maxSockets(256);
+            rig.start(Rig.entry("s", rig.backend((connection, request) -> connection.respond("200 OK",
+                    Integer.toString(request.body().length))).address(), "SERVING"));
+            for (int i = 0; i < 2 * inputBytes / halfBytes; i++) {
+                rig.client().write("POST /move HTTP/1.1\r\nHost: p\r\nX-Request-Id: h" + i
+                        + "\r\nContent-Length: 60000\r\n\r\n" + "x".repeat(halfBytes));
+            }
+            for (int bytes : new int[] {1_000, 40_000, 65_000}) {
+                assertEquals(Integer.toString(bytes), rig.call("POST /move HTTP/1.1\r\nHost: p\r\n"
+                        + "X-Request-Id: sound" + bytes + "\r\nContent-Length: " + bytes + "\r\n\r\n"
+                        + "x".repeat(bytes)).text());
+            }
+            assertTrue((int) rig.proxy().submitToLoop(() -> memory.input().maxHeldBytes()).get()
+                    <= inputBytes + ALLOWED_READ_BYTES);
+        }
+    }
+
     private void holdOnLoop(Rig rig, int bytes) throws Exception {
         rig.proxy().submitToLoop(() -> {
             memory.transfer().hold(bytes);
