Leave room for new requests when buffered responses use up their budget

Seen by callers: 503 for every new request while responses of up to 64 KiB were unfinished or waited for slow readers.

Cause: buffers could take all of the budget for what is on its way, and from there on every new request is refused.

--- a/src/main/java/passhatch/proxy/ResponseReader.java
+++ b/src/main/java/passhatch/proxy/ResponseReader.java
@@ -23,6 +23,8 @@
 
     /** Bytes of a body that are buffered. A 200 response with a longer body is streamed. */
     static final int MAX_BUFFERED_BYTES = 1 << 16;
+    /** The same while the budget is scarce: buffers must leave room for what new requests need. */
+    private static final int MAX_SCARCE_BUFFERED_BYTES = 1 << 12;
     /** Largest body in bytes. A response that declares a longer one is malformed. */
     static final long MAX_BODY_BYTES = RequestReader.MAX_BODY_BYTES;
     /** Interim (1xx) responses before the final one; a backend that sends more would never end. */
@@ -94,7 +96,8 @@
         }
         int doubledBytes = Math.min(MAX_BUFFERED_BYTES, Math.max(INITIAL_CAPACITY_BYTES, buffer.length * 2));
         int capacityBytes = Math.max(neededBytes, doubledBytes);
-        if (!budget.reserve(capacityBytes - budgetedBytes)) {
+        boolean mayBuffer = neededBytes <= MAX_SCARCE_BUFFERED_BYTES || !budget.isScarce();
+        if (!mayBuffer || !budget.reserve(capacityBytes - budgetedBytes)) {
             budgetExceeded = true;
             budget.hold(capacityBytes - budgetedBytes);
         }
--- a/src/test/java/passhatch/proxy/MemoryBudgetTest.java
+++ b/src/test/java/passhatch/proxy/MemoryBudgetTest.java
@@ -174,6 +174,32 @@
         }
     }
 
+    // Guards against unfinished responses whose buffers used up the budget, so that every request got 503.
+    @Test
+    void unfinishedResponsesLeaveRoomForNewRequests() throws Exception {
+        int unfinished = 2 * BUDGET_BYTES / ResponseReader.MAX_BUFFERED_BYTES;
+        CountDownLatch mostSent = new CountDownLatch(unfinished);
+        try (Rig rig = new Rig(folder).memory(memory)) {
+            rig.start(Rig.entry("s", rig.backend((connection, request) -> {
+                if (request.startLine().contains("x=1")) {
+                    connection.write("HTTP/1.1 200 OK\r\nContent-Length: 60000\r\n\r\n");
+                    connection.write(new byte[59_999]);
+                    mostSent.countDown();
+                } else {
+                    connection.respond("200 OK", "short");
+                }
+            }).address(), "SERVING"));
+            for (int i = 0; i < unfinished; i++) {
+                rig.client().write(Rig.get("u" + i, ""));
+            }
+            assertTrue(mostSent.await(HttpTestConnection.TIMEOUT_MS, TimeUnit.MILLISECONDS));
+            for (int i = 0; i < 20; i++) {
+                assertEquals(200, rig.call("GET /board/7 HTTP/1.1\r\nHost: p\r\nX-Request-Id: r" + i
+                        + "\r\n\r\n").status(), "short request " + i);
+            }
+        }
+    }
+
     @Test
     void requestsAreRefusedWhileTheBudgetIsUsedUp() throws Exception {
         AtomicInteger backendRequests = new AtomicInteger();
