Count a client's time, and look for its close, while its input waits unread

Seen by callers: requests of 400 to 900 kB whose server read slowly got their final answer 0.5 to 6 s after half a second past their time. Requests were sent to servers up to 0.2 s and more after their client had closed its connection.

Cause: while a server takes no more of a body, the proxy reads no more of it.

Change: input counts as unread from the first read of a burst until the socket is found empty, after a pause for 5 ms, as the client's system may have more to send. The time of a request whose end may be unread runs from then: RequestEndEstimate tells since when its end can have been written, as the system holds no more than so much. Its final answer comes 0.15 s after its time; no server has all of it, so it has not run. Unread input is handled for 50 ms. Before the end of a body that was held back is forwarded, the connection is read for a close behind it.

--- a/lab/src/main/java/passhatch/lab/PressureCommand.java
+++ b/lab/src/main/java/passhatch/lab/PressureCommand.java
@@ -13,7 +13,7 @@
         description = "Clients that hold what they can of a deployed proxy, and what sound requests get.")
 final class PressureCommand implements Callable<Integer> {
 
-    @Parameters(arity = "1..*", paramLabel = "SCENARIO", description = "names of HoldingClient")
+    @Parameters(arity = "1..*", paramLabel = "SCENARIO", description = "names of HoldingClient or TimedRequest")
     private String[] scenarios;
 
     @Option(names = "--root", defaultValue = ".", paramLabel = "DIR",
@@ -37,6 +37,10 @@
     public Integer call() throws IOException, InterruptedException {
         for (String scenario : scenarios) {
             try (PressureRun run = new PressureRun(root, memoryMb)) {
+                if (PressureRun.isTimed(scenario)) {
+                    System.out.println(run.time(scenario).summary());
+                    continue;
+                }
                 PressureRun.Report report = run.hold(scenario, clients, upgrade);
                 System.out.println(report.summary());
                 if (details) {
--- a/lab/src/main/java/passhatch/lab/pressure/PressureRun.java
+++ b/lab/src/main/java/passhatch/lab/pressure/PressureRun.java
@@ -6,11 +6,13 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Queue;
 import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
 import passhatch.lab.discovery.CallCosts;
@@ -33,6 +35,10 @@
     /** Time for the clients that hold something to connect before the first sound request. */
     private static final Duration HEAD_START = Duration.ofMillis(500);
 
+    /** An attempt may begin so long after its client has left. */
+    private static final Duration LEAVE_SLACK = Duration.ofMillis(100);
+
+    private final Map<String, Long> leftAtNs = new ConcurrentHashMap<>();
     private final PacedBackends backends;
     private final DiscoveryServer discovery;
     private final DeployedProxy.Deployment deployment;
@@ -75,6 +81,83 @@
         return backends;
     }
 
+    /**
+     * What became of timed requests.
+     *
+     * @param maxLateMs how long after its client's time the latest ended, in milliseconds
+     * @param ranTwice ids of requests that must not run twice and did
+     * @param sentAfterClose ids that reached a server over 0.1 s after their client had left
+     */
+    public record Timing(String scenario, Map<Ending, Integer> endings, Map<Integer, Integer> statuses,
+            long maxLateMs, List<String> ranTwice, List<String> sentAfterClose) {
+
+        int count(Ending ending) {
+            return endings.getOrDefault(ending, 0);
+        }
+
+        /** The numbers in one line. */
+        public String summary() {
+            return scenario + ": " + endings + " " + statuses + ", the latest " + maxLateMs
+                    + " ms after its time, ran twice: " + ranTwice.size()
+                    + ", sent after the close: " + sentAfterClose.size();
+        }
+    }
+
+    /** Whether the name is that of a timed request, and not of clients that hold something. */
+    public static boolean isTimed(String scenario) {
+        return Arrays.stream(TimedRequest.values()).anyMatch(kind -> kind.name().equals(scenario));
+    }
+
+    /** Sends requests of one kind at the same time and waits for their ends. */
+    public Timing time(String scenario) throws InterruptedException {
+        TimedRequest kind = TimedRequest.valueOf(scenario);
+        Queue<HttpCall.Result> results = new ConcurrentLinkedQueue<>();
+        List<Thread> threads = new ArrayList<>();
+        for (int i = 0; i < TimedRequest.REQUESTS; i++) {
+            int number = i;
+            threads.add(DaemonThreads.start(() -> results.add(sendTimed(kind, number))));
+        }
+        for (Thread thread : threads) {
+            thread.join();
+        }
+        Map<Ending, Integer> endings = new EnumMap<>(Ending.class);
+        Map<Integer, Integer> statuses = new TreeMap<>();
+        long maxLateMs = Long.MIN_VALUE;
+        for (HttpCall.Result result : results) {
+            endings.merge(result.ending(), 1, Integer::sum);
+            statuses.merge(result.status(), 1, Integer::sum);
+            maxLateMs = Math.max(maxLateMs, result.lateMs());
+        }
+        if (!leftAtNs.isEmpty()) {
+            TimeUnit.MILLISECONDS.sleep(DeployedProxy.DEADLINE.toMillis());
+        }
+        Map<String, Integer> runs = new TreeMap<>();
+        backends.arrivals().forEach(arrival -> runs.merge(arrival.id(), 1, Integer::sum));
+        return new Timing(scenario, endings, statuses, maxLateMs,
+                runs.entrySet().stream().filter(run -> run.getValue() > 1).map(Map.Entry::getKey).toList(),
+                backends.arrivals().stream().filter(this::isAfterClose).map(PacedBackends.Arrival::id)
+                        .toList());
+    }
+
+    /** Notes that the client of the requests whose ids start so has closed its connection now. */
+    void clientLeft(String idPrefix) {
+        leftAtNs.put(idPrefix, System.nanoTime());
+    }
+
+    private boolean isAfterClose(PacedBackends.Arrival arrival) {
+        return leftAtNs.entrySet().stream().anyMatch(left -> (arrival.id().equals(left.getKey())
+                || left.getKey().endsWith("-") && arrival.id().startsWith(left.getKey()))
+                && arrival.atNs() - left.getValue() > LEAVE_SLACK.toNanos());
+    }
+
+    private HttpCall.Result sendTimed(TimedRequest kind, int number) throws InterruptedException {
+        try {
+            return kind.send(this, number);
+        } catch (IOException broken) {
+            return new HttpCall.Result(Ending.CLOSED, 0, 0);
+        }
+    }
+
     /** What became of the sound requests, and what the processes needed. */
     public record Report(String scenario, int clients, int sound, Map<Ending, Integer> endings,
             Map<Integer, Integer> statuses, boolean alive, List<Long> peakMemoryKb, String metrics,
@@ -111,6 +194,7 @@
         TimeUnit.MILLISECONDS.sleep(HEAD_START.toMillis());
         if (upgrade) {
             startProxy();
+            proxy().signal("TERM");
         }
         Queue<HttpCall.Result> results = sendSoundRequests();
         Map<Ending, Integer> endings = new EnumMap<>(Ending.class);
--- /dev/null
+++ b/lab/src/test/java/passhatch/lab/pressure/SlowServerTest.java
@@ -0,0 +1,37 @@
+package passhatch.lab.pressure;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import passhatch.lab.pressure.HttpCall.Ending;
+
+/** Requests through a deployed proxy whose servers are slow or whose clients leave. */
+@Timeout(120)
+final class SlowServerTest {
+
+    private static PressureRun.Timing time(String scenario) throws Exception {
+        try (PressureRun run = new PressureRun(Path.of(".."), PressureRun.MEMORY_MB)) {
+            return run.time(scenario);
+        }
+    }
+
+    // Guards against a final answer seconds late because a server read a long request slowly.
+    @ParameterizedTest
+    @ValueSource(strings = {"UPLOAD_WITH_LENGTH", "UPLOAD_IN_CHUNKS", "UPLOAD_TO_FASTER_SERVER"})
+    void noFinalAnswerIsLateHoweverSlowlyAServerReads(String scenario) throws Exception {
+        PressureRun.Timing timing = time(scenario);
+        assertEquals(0, timing.count(Ending.LATE) + timing.count(Ending.CLOSED), timing::summary);
+    }
+
+    // Guards against input that was read only after its client had left, and forwarded then.
+    @ParameterizedTest
+    @ValueSource(strings = {"LEFT_UPLOAD", "LEFT_PIPELINED"})
+    void nothingIsForwardedOnceItsClientHasLeft(String scenario) throws Exception {
+        PressureRun.Timing timing = time(scenario);
+        assertEquals(List.of(), timing.sentAfterClose(), timing::summary);
+    }
+}
--- a/src/main/java/passhatch/proxy/BudgetedReceiveAllocator.java
+++ b/src/main/java/passhatch/proxy/BudgetedReceiveAllocator.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
+import io.netty.channel.Channel;
 import io.netty.channel.RecvByteBufAllocator;
 
 /** Reads a socket in smaller pieces than its delegate would while a memory budget is scarce. */
@@ -15,6 +16,13 @@
         this.budget = budget;
     }
 
+    /** Whether the last read took all that there was; the event loop may stop reading before that. */
+    @SuppressWarnings("deprecation")
+    static boolean isSocketDrained(Channel channel) {
+        Handle lastReads = channel.unsafe().recvBufAllocHandle();
+        return lastReads.lastBytesRead() < lastReads.attemptedBytesRead();
+    }
+
     /** Creates a handle of the type that Netty's interface still names, although it is deprecated. */
     @Override
     @SuppressWarnings("deprecation")
--- a/src/main/java/passhatch/proxy/ClientConnection.java
+++ b/src/main/java/passhatch/proxy/ClientConnection.java
@@ -51,9 +51,20 @@
     private static final int WRITE_TIMEOUT_S = 10;
     /**
      * A close by the client is not seen while input before it is unread. Once input has been unread for this
-     * long, the requests of the connection are not sent to backends.
+     * long, the requests of the connection are not sent to backends: none may reach one 0.1 s after the close.
      */
-    private static final long MAX_UNREAD_US = 200_000;
+    private static final long MAX_UNREAD_US = 50_000;
+    /** Time without input after which a client whose input was paused is taken to have no more of it. */
+    private static final long NOTHING_FOLLOWS_MS = 5;
+    /** Reads that look for a close behind the end of a request. */
+    private static final int MAX_READS_AT_END = 4;
+    /** Input that is read while its decoding is paused, so that a close by the client behind it is seen. */
+    private static final int MAX_UNDECODED_BYTES = 1 << 16;
+    /**
+     * How long after its client's time a request gets its final response if its last byte is unread, so that
+     * nobody knows when it was written. The rules allow half a second.
+     */
+    private static final long UNREAD_END_GRACE_US = 150_000;
 
     /** Why a connection was closed: the first reason there was. */
     enum CloseReason {
@@ -88,8 +99,6 @@
     private PipelinedRequest incompleteRequest;
     private final TransferMonitor transfers;
     private final long connectedAtUs;
-    /** How long input that is read first may have waited for the connection to be accepted. */
-    private long queueTimeUs;
     /** When the first bytes arrived of a request that is incomplete; 0 if there is none. */
     private long incompleteSinceUs;
     /** When the last response was written; 0 if none was. */
@@ -98,8 +107,11 @@
     private boolean handlingScheduled;
     /** Parts that were decoded since the connection last had its turn. */
     private int partsThisTurn;
-    /** Since when input of the client may be unread; 0 if all of it has been read. */
-    private long unreadSinceUs;
+    /** Whether reading is paused because there is no room for more input. */
+    private boolean readingPaused;
+    /** Whether reading was paused since all input was read; the client may have more to send at once. */
+    private boolean wasPaused;
+    private final RequestEndEstimate requestEnd = new RequestEndEstimate();
     /** Whether further input is discarded: the connection closes after the responses to open requests. */
     private boolean inputDiscarded;
     /** Whether the connection closes when the remainder of an incomplete request has been discarded. */
@@ -123,8 +135,7 @@
     ClientConnection(ClientServer server, Channel channel, Clock clock, long queueTimeUs) {
         this.server = server;
         this.channel = channel;
-        this.transfers = new TransferMonitor(clock);
-        this.queueTimeUs = queueTimeUs;
+        this.transfers = new TransferMonitor(clock, queueTimeUs);
         this.memory = new MemoryAccount(server.memory().input(), clock, server::reclaimMemory);
         this.reader = new RequestReader(memory);
         this.readAhead = new ReadAheadBuffer(memory);
@@ -167,7 +178,8 @@
 
     /**
      * Whether the client of a request is known to be connected. A client that is still sending the body
-     * counts as present: the body must be forwarded before all of it has been read.
+     * counts as present: the body is forwarded before all of it has been read, and its end only if the client
+     * has not left, see {@link #isPresentAtEnd}.
      */
     boolean isClientPresent(PipelinedRequest request) {
         return request == incompleteRequest || !mayHaveMissedClose();
@@ -256,7 +268,8 @@
     }
 
     /**
-     * Closes the connection if it is idle for too long, and rejects a request that is received too slowly.
+     * Closes the connection if it is idle for too long, rejects a request that is received too slowly, and
+     * ends one whose client's time is over while the proxy itself does not read its end.
      * The time for a request counts from its start, or from connecting for the first one, however often a
      * few bytes arrive.
      *
@@ -264,6 +277,7 @@
      * @param idleTimeoutUs idle time allowed after a response, in microseconds
      */
     void closeIfStalled(long nowUs, long firstRequestTimeoutUs, long idleTimeoutUs) {
+        endIfOverdue();
         if (incompleteSinceUs > 0) {
             if (reader.isBodyFull() || !readAhead.isEmpty()) {
                 receiveRate.readingPaused(nowUs);
@@ -278,6 +292,20 @@
         }
     }
 
+    /**
+     * Ends an incomplete request whose client's time is over. Its time runs from when its last byte may have
+     * been written, also while that byte waits unread because the server takes no more.
+     */
+    private void endIfOverdue() {
+        long endReceivedAtUs = readAhead.firstEndReceivedAtUs();
+        long unhandledSinceUs = endReceivedAtUs > 0 ? endReceivedAtUs : transfers.unreadSinceUs();
+        if (incompleteRequest != null && incompleteRequest.activeId() != null
+                && (endReceivedAtUs > 0 || transfers.hasUnread()) && requestEnd.isPossible()) {
+            server.proxy().endIfOverdue(incompleteRequest.activeId(),
+                    requestEnd.earliestUs(unhandledSinceUs), UNREAD_END_GRACE_US);
+        }
+    }
+
     /** Closes the connection. A request that is left without a response is reported as a violation. */
     void close() {
         server.isolated("the report of unanswered requests", this::reportUnansweredRequests, () -> { }).run();
@@ -368,18 +396,21 @@
             discardPart(part);
             return;
         }
-        readAhead.add(part, server.nowUs() - queueTimeUs);
+        readAhead.add(part, transfers.unreadSinceUs());
         partsThisTurn++;
-        if (readAhead.isFull() || partsThisTurn >= MAX_PARTS_PER_TURN) {
-            pauseInput();
+        if (readAhead.isFull()) {
+            decoder.pause();
+            pauseReading();
+        } else if (partsThisTurn >= MAX_PARTS_PER_TURN) {
+            decoder.pause();
         }
     }
 
-    /** Neither reads nor decodes more input until {@link #resumeInput}. */
-    private void pauseInput() {
-        decoder.pause();
+    /** Reads nothing more until {@link #resumeInput}. */
+    private void pauseReading() {
+        readingPaused = true;
+        wasPaused = true;
         channel.config().setAutoRead(false);
-        unreadSinceUs = unreadSinceUs == 0 ? server.nowUs() : unreadSinceUs;
     }
 
     /** Decodes input that has been read, and reads on if that leaves room for more. */
@@ -392,22 +423,28 @@
         }
         updateIncompleteSince();
         accountForUndelivered();
-        if (!readAhead.isEmpty()) {
+        if (!readAhead.isEmpty() || decoder.isPaused()) {
             scheduleHandling();
         }
-        if (!decoder.isPaused() && !channel.config().isAutoRead()) {
+        if (!decoder.isPaused() && readingPaused) {
+            readingPaused = false;
             channel.config().setAutoRead(true);
-            // The task runs after the event loop has read the input that is there. If there is none,
-            // channelReadComplete is not called.
-            channel.eventLoop().schedule(this::clearUnreadUnlessPaused, 1, TimeUnit.MILLISECONDS);
+            clearUnreadIfNothingFollows();
         }
     }
 
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
-        queueTimeUs = 0;
-        partsThisTurn = 0;
-        clearUnreadUnlessPaused();
+        if (decoder.isPaused() && decoder.heldBytes() > MAX_UNDECODED_BYTES) {
+            pauseReading();
+        }
+        if (!readingPaused && BudgetedReceiveAllocator.isSocketDrained(channel)) {
+            if (wasPaused) {
+                clearUnreadIfNothingFollows();
+            } else {
+                transfers.allRead();
+            }
+        }
         updateIncompleteSince();
         accountForUndelivered();
         scheduleHandling();
@@ -428,9 +465,34 @@
         }
     }
 
+    /**
+     * Whether the client of a request that is forwarded while it is received is still there before its end is
+     * forwarded. As reading was paused meanwhile, a close behind the end may be unread. If that cannot be
+     * told, the request is rejected: no server has all of it.
+     */
+    private boolean isPresentAtEnd() {
+        for (int reads = 0; wasPaused && !inputDiscarded && reads < MAX_READS_AT_END; reads++) {
+            long receivedBytes = transfers.receivedBytes();
+            readUnlessLingering();
+            if (transfers.receivedBytes() == receivedBytes) {
+                return !inputDiscarded;
+            }
+        }
+        if (!inputDiscarded && wasPaused && mayHaveMissedClose()) {
+            rejectAsMaybeGone();
+        }
+        return !inputDiscarded;
+    }
+
+    private void rejectAsMaybeGone() {
+        logEvent("request refused with 503 Service Unavailable: input was unread for too long to tell whether"
+                + " its client is still connected");
+        rejectRequest(HttpResponseStatus.SERVICE_UNAVAILABLE);
+    }
+
     /** Whether input has been unread for so long that the client may have closed the connection unnoticed. */
     private boolean mayHaveMissedClose() {
-        return unreadSinceUs > 0 && server.nowUs() - unreadSinceUs > MAX_UNREAD_US;
+        return transfers.hasUnread() && server.waitedUs(transfers.unreadSinceUs()) > MAX_UNREAD_US;
     }
 
     /** Ignores input behind the last request, which is read only so that a close by the client is seen. */
@@ -479,14 +541,19 @@
         }
     }
 
-    /** Notes that all input has been read, unless reading is paused. */
-    private void clearUnreadUnlessPaused() {
-        if (!decoder.isPaused()) {
-            if (unreadSinceUs > 0) {
-                server.readingResumed(server.nowUs() - unreadSinceUs);
+    /**
+     * Notes that all input has been read, if nothing more comes for a moment: after a pause the client's
+     * system may have more to send as soon as there is room for it.
+     */
+    private void clearUnreadIfNothingFollows() {
+        long lastReceivedUs = transfers.lastReceivedUs();
+        channel.eventLoop().schedule(() -> {
+            if (!readingPaused && transfers.lastReceivedUs() == lastReceivedUs) {
+                server.readingResumed(server.nowUs() - transfers.unreadSinceUs());
+                wasPaused = false;
+                transfers.allRead();
             }
-            unreadSinceUs = 0;
-        }
+        }, NOTHING_FOLLOWS_MS, TimeUnit.MILLISECONDS);
     }
 
     private boolean canHandleMore() {
@@ -506,6 +573,7 @@
             ReferenceCountUtil.release(part);
         }
         if (channel.isOpen() && !lastResponseWritten) {
+            readingPaused = false;
             channel.config().setAutoRead(true);
         }
         if (decoder.isPaused()) {
@@ -518,9 +586,10 @@
     /** Handles the next part of a request; accepts the request if it is complete or too long to buffer. */
     private void handlePart(HttpObject part, long receivedAtUs) {
         if (part instanceof HttpRequest && mayHaveMissedClose()) {
-            logEvent("request refused with 503 Service Unavailable: input was unread"
-                    + " for too long to tell whether its client is still connected");
-            rejectRequest(HttpResponseStatus.SERVICE_UNAVAILABLE);
+            rejectAsMaybeGone();
+            return;
+        }
+        if (part instanceof LastHttpContent && incompleteRequest != null && !isPresentAtEnd()) {
             return;
         }
         RequestReader.IncomingRequest incoming;
@@ -533,6 +602,7 @@
         }
         if (part instanceof HttpRequest) {
             receiveRate.headCompleted(server.nowUs());
+            requestEnd.start(server.nowUs(), incoming.body().declaredLength());
             if (requests.isEmpty() && reader.isAwaitingContinue(part)) {
                 channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
                         HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
@@ -540,6 +610,7 @@
         }
         if (part instanceof HttpContent content) {
             receiveRate.bytesReceived(server.nowUs(), content.content().readableBytes());
+            requestEnd.handled(server.nowUs(), content.content().readableBytes());
         }
         if (incoming.body().isComplete()) {
             incompleteSinceUs = 0;
@@ -551,7 +622,8 @@
                 if (!completed.isKeepAlive()) {
                     discardFurtherInput();
                 }
-                server.proxy().requestComplete(completed.activeId(), server.waitedUs(receivedAtUs));
+                server.proxy().requestComplete(completed.activeId(),
+                        server.waitedUs(requestEnd.earliestUs(receivedAtUs)));
             }
         } else if (incompleteRequest == null && incoming.body().exceedsBuffer()) {
             acceptRequest(incoming, receivedAtUs);
--- a/src/main/java/passhatch/proxy/ProxyLoop.java
+++ b/src/main/java/passhatch/proxy/ProxyLoop.java
@@ -340,6 +340,26 @@
                 Math.max(0, exchange.deadlineUs - clock.nowUs())));
     }
 
+    /**
+     * Ends a request whose body has not been handled completely if its client's time is over. It cannot have
+     * run, as no server has all of its body.
+     *
+     * @param endAtUs when its last byte can have been written at the earliest, in microseconds
+     * @param graceUs how long after its client's time it is ended, in microseconds
+     */
+    void endIfOverdue(String id, long endAtUs, long graceUs) {
+        Exchange exchange = exchanges.get(id);
+        if (exchange == null || !exchange.incomplete || exchange.responded || exchange.streamedAttempt != null
+                || clock.nowUs() < endAtUs + exchange.request.timeLeftUs() + graceUs) {
+            return;
+        }
+        log.line(Kind.REQUEST, "request " + id + " is ended: its server has not taken all of its body in its"
+                + " client's time" + exchange.describeAttempts());
+        respond(exchange, ProxyResponse.failed());
+        cancelAttempts(exchange);
+        forget(exchange);
+    }
+
     private void markComplete(Exchange exchange) {
         incompleteRequests -= exchange.incomplete ? 1 : 0;
         exchange.incomplete = false;
@@ -364,14 +384,23 @@
                 exchange.streamedAttempt.handle.cancel();
             }
             if (wasIncomplete) {
-                // No attempt can receive the complete body, so all end even if settings forbid cancelling.
-                exchange.attempts.stream().filter(a -> a.handle != null).forEach(a -> a.handle.cancel());
+                cancelAttempts(exchange);
             }
-            notifyModule(exchange, () -> balancer.clientGone(clock.nowUs(), id));
-            removeIfFinished(exchange);
+            forget(exchange);
         }
     }
 
+    /** Ends the attempts of a request of which none can receive the complete body, whatever settings say. */
+    private void cancelAttempts(Exchange exchange) {
+        exchange.attempts.stream().filter(a -> a.handle != null).forEach(a -> a.handle.cancel());
+    }
+
+    /** Has the module forget a request that needs no response any more. */
+    private void forget(Exchange exchange) {
+        notifyModule(exchange, () -> balancer.clientGone(clock.nowUs(), exchange.request.id()));
+        removeIfFinished(exchange);
+    }
+
     /**
      * Ends a request for which the module has requested no response in time: with 502 if an attempt may have
      * run, else with 503.
@@ -381,8 +410,7 @@
             log.line(Kind.REQUEST, "request " + exchange.request.id()
                     + " got no response from the decision module in time; the proxy ends it itself");
             respond(exchange, exchange.mayHaveRun() ? ProxyResponse.failed() : ProxyResponse.refused(0));
-            notifyModule(exchange, () -> balancer.clientGone(clock.nowUs(), exchange.request.id()));
-            removeIfFinished(exchange);
+            forget(exchange);
         }
     }
 
--- a/src/main/java/passhatch/proxy/ReadAheadBuffer.java
+++ b/src/main/java/passhatch/proxy/ReadAheadBuffer.java
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.util.ArrayDeque;
 import java.util.Iterator;
@@ -84,6 +85,16 @@
         return next;
     }
 
+    /** When the first end of a request in the buffer was received, in microseconds; 0 if there is none. */
+    long firstEndReceivedAtUs() {
+        for (ReceivedPart received : parts) {
+            if (received.part() instanceof LastHttpContent) {
+                return received.receivedAtUs();
+            }
+        }
+        return 0;
+    }
+
     boolean isEmpty() {
         return parts.isEmpty();
     }
--- a/src/main/java/passhatch/proxy/TransferMonitor.java
+++ b/src/main/java/passhatch/proxy/TransferMonitor.java
@@ -1,5 +1,6 @@
 package passhatch.proxy;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPromise;
@@ -12,19 +13,37 @@
 
     private final Clock clock;
     private long lastReceivedUs;
+    private long receivedBytes;
+    /** How long the first input may have waited for the connection to be accepted. */
+    private long queueTimeUs;
+    /** When the first input was read since all of it had been read; meaningful if {@link #hasUnread}. */
+    private long unreadSinceUs;
+    private boolean hasUnread;
     /** Number of writes that the network has not taken completely. */
     private int pendingWrites;
     /** When the network last completed a write, or when the first pending one was started if later. */
     private long lastWriteProgressUs;
 
-    TransferMonitor(Clock clock) {
+    /**
+     * Creates a monitor of a connection that is accepted now.
+     *
+     * @param queueTimeUs how long its first input may have waited for that, in microseconds
+     */
+    TransferMonitor(Clock clock, long queueTimeUs) {
         this.clock = clock;
+        this.queueTimeUs = queueTimeUs;
         this.lastReceivedUs = clock.nowUs();
     }
 
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
         lastReceivedUs = clock.nowUs();
+        receivedBytes += ((ByteBuf) message).readableBytes();
+        if (!hasUnread) {
+            hasUnread = true;
+            unreadSinceUs = lastReceivedUs - queueTimeUs;
+            queueTimeUs = 0;
+        }
         ctx.fireChannelRead(message);
     }
 
@@ -40,6 +59,29 @@
         }));
     }
 
+    /** Notes that all input that was there has been read. */
+    void allRead() {
+        hasUnread = false;
+    }
+
+    /** Whether there may be input that has not been read. */
+    boolean hasUnread() {
+        return hasUnread;
+    }
+
+    /**
+     * Since when there has been unread input without a break, or when the latest such time began: no input
+     * that is read now can have arrived earlier.
+     */
+    long unreadSinceUs() {
+        return unreadSinceUs;
+    }
+
+    /** Number of bytes received so far. */
+    long receivedBytes() {
+        return receivedBytes;
+    }
+
     /** When bytes were last received, or when the connection was accepted if none were. */
     long lastReceivedUs() {
         return lastReceivedUs;
