Forward a response of unknown length as long as its server gives

Seen by callers: a long chunked response with a pause of 0.7 or 1.5 s near its start was cut off at its deadline, 24 of 24; with a length all were whole.

Cause: at the deadline a response of unknown length of which at most 64 KiB had come was given up if its mean rate so far was under 16 kB a second; a pause near the start always is.

Change: after its deadline it goes on unless nothing comes for 2 s, or less than 1,000 bytes in 2 s. A response whose head says that it is long is streamed at its deadline even if none of its body has come: its first bytes are due then.

--- a/lab/src/test/java/passhatch/lab/pressure/SlowServerTest.java
+++ b/lab/src/test/java/passhatch/lab/pressure/SlowServerTest.java
@@ -27,6 +27,14 @@
         assertEquals(0, timing.count(Ending.LATE) + timing.count(Ending.CLOSED), timing::summary);
     }
 
+    // Guards against a long response without a length that was cut off at its deadline after a pause.
+    @ParameterizedTest
+    @ValueSource(strings = {"PAUSED_RESPONSE_IN_CHUNKS", "PAUSED_RESPONSE_TO_THE_CLOSE"})
+    void aResponseThatPausesNearItsStartIsForwardedWhole(String scenario) throws Exception {
+        PressureRun.Timing timing = time(scenario);
+        assertEquals(TimedRequest.REQUESTS, timing.count(Ending.SERVED), timing::summary);
+    }
+
     // Guards against input that was read only after its client had left, and forwarded then.
     @ParameterizedTest
     @ValueSource(strings = {"LEFT_UPLOAD", "LEFT_PIPELINED"})
--- a/src/main/java/passhatch/proxy/BackendPool.java
+++ b/src/main/java/passhatch/proxy/BackendPool.java
@@ -53,12 +53,14 @@
      */
     private static final long MAX_BUFFERING_MS = 150;
     /**
-     * Least average rate of a response of unknown length that is still streamed at its deadline. A slower one
-     * is not expected to complete and is given up.
+     * Time in microseconds for which a backend may pause in a response of unknown length after its deadline.
+     * The protocol allows for a response to be held back for as long.
      */
-    private static final long MIN_BYTES_PER_SECOND = 16_000;
-    /** Time in microseconds for which a response is observed before its rate or a pause in it is judged. */
-    private static final long MIN_OBSERVATION_US = 400_000;
+    private static final long MAX_PAUSE_US = 2_000_000;
+    /** Bytes that such a response must bring in that time; a trickle below is not expected to complete. */
+    private static final long MIN_BYTES_PER_PAUSE = 1_000;
+    /** Time without progress, in microseconds, after which a response is taken to be stalled at a shutdown. */
+    private static final long MAX_STALL_AT_SHUTDOWN_US = 400_000;
     /**
      * Low and high limit, in bytes, of data that waits to be written to a peer. Above the high limit no more
      * is read for that peer until the data has fallen below the low limit.
@@ -358,7 +360,10 @@
                 // Too long to have been buffered: it is streamed for as long as it makes progress.
                 return;
             }
-            if (sink != null && connection.isNewOrFastEnough()) {
+            if (sink == null && connection != null && connection.startIfKnownToBeLong()) {
+                return;
+            }
+            if (sink != null && connection.isStillGiving()) {
                 scheduleTimeout(TimeUnit.MILLISECONDS.toMicros(MAX_BUFFERING_MS));
                 return;
             }
@@ -463,8 +468,10 @@
         long lastProgressUs;
         /** Bytes of the streamed response that were given to its sink. */
         private long streamedBytes;
-        /** When the response started to be streamed. */
-        private long streamingSinceUs;
+        /** Start of the period in which the rate of the streamed response is observed. */
+        private long periodStartUs;
+        /** Bytes that had been streamed at that time. */
+        private long periodStartBytes;
 
         Connection(Target target) {
             this.target = target;
@@ -646,7 +653,7 @@
             pending.sink = sink;
             ByteBuf buffered = reader.takeBufferedBody();
             streamedBytes = buffered.readableBytes();
-            streamingSinceUs = clock.nowUs();
+            startPeriod();
             // Only a response known to be long is freed from the deadline: one of unknown length may turn
             // out short, and short responses are due by the deadline.
             if (pending.timeoutTask != null && reader.contentLength() > ResponseReader.MAX_BUFFERED_BYTES) {
@@ -661,14 +668,36 @@
          */
         private boolean isShortOrStalled() {
             return Math.max(streamedBytes, reader.contentLength()) <= ResponseReader.MAX_BUFFERED_BYTES
-                    || channel.config().isAutoRead() && clock.nowUs() - lastProgressUs > MIN_OBSERVATION_US;
+                    || channel.config().isAutoRead()
+                    && clock.nowUs() - lastProgressUs > MAX_STALL_AT_SHUTDOWN_US;
+        }
+
+        /** Whether the backend has sent enough of the streamed response lately to be expected to go on. */
+        private boolean isStillGiving() {
+            long nowUs = clock.nowUs();
+            boolean isReading = channel.config().isAutoRead();
+            boolean isPeriodOver = nowUs - periodStartUs >= MAX_PAUSE_US;
+            boolean isTrickle = isPeriodOver && streamedBytes - periodStartBytes < MIN_BYTES_PER_PAUSE;
+            if (!isReading || isPeriodOver) {
+                startPeriod();
+            }
+            return !isReading || !isTrickle && nowUs - lastProgressUs < MAX_PAUSE_US;
         }
 
-        /** Whether streaming has only just started or the average rate so far reaches the minimum. */
-        private boolean isNewOrFastEnough() {
-            long sinceUs = clock.nowUs() - streamingSinceUs;
-            return sinceUs < MIN_OBSERVATION_US
-                    || streamedBytes * 1_000_000 / sinceUs >= MIN_BYTES_PER_SECOND;
+        private void startPeriod() {
+            periodStartUs = clock.nowUs();
+            periodStartBytes = streamedBytes;
+        }
+
+        /**
+         * Starts to stream the response if its head says that it is long. Its first bytes are due by the
+         * deadline, the others when the backend sends them.
+         */
+        boolean startIfKnownToBeLong() {
+            if (pendingResult == null && reader.isKnownToBeLong()) {
+                startStreaming();
+            }
+            return pending != null && pending.sink != null;
         }
 
         private void streamPart(HttpObject part) {
--- a/src/main/java/passhatch/proxy/ResponseReader.java
+++ b/src/main/java/passhatch/proxy/ResponseReader.java
@@ -122,6 +122,11 @@
                 || bodyBytes > MAX_BUFFERED_BYTES);
     }
 
+    /** Whether the head of a 200 response says that it is too long to buffer; none of it may have arrived. */
+    boolean isKnownToBeLong() {
+        return head != null && isOk() && contentLength() > MAX_BUFFERED_BYTES;
+    }
+
     /** Whether part of the body of a 200 response of unknown length has arrived. */
     boolean mayExceedBuffer() {
         return hasBodyBytes() && contentLength() < 0;
