--- a/lab/src/main/java/passhatch/lab/PressureCommand.java
+++ b/lab/src/main/java/passhatch/lab/PressureCommand.java
@@ -13,7 +13,8 @@
         description = "Clients that hold what they can of a deployed proxy, and what sound requests get.")
 final class PressureCommand implements Callable<Integer> {
 
-    @Parameters(arity = "1..*", paramLabel = "SCENARIO", description = "names of HoldingClient or TimedRequest")
+    @Parameters(arity = "1..*", paramLabel = "SCENARIO",
+            description = "names of HoldingClient or TimedRequest")
     private String[] scenarios;
 
     @Option(names = "--root", defaultValue = ".", paramLabel = "DIR",
--- a/src/main/java/passhatch/proxy/BackendPool.java
+++ b/src/main/java/passhatch/proxy/BackendPool.java
@@ -59,7 +59,7 @@
     private static final long MAX_PAUSE_US = 2_000_000;
     /** Bytes that such a response must bring in that time; a trickle below is not expected to complete. */
     private static final long MIN_BYTES_PER_PAUSE = 1_000;
-    /** Time without progress, in microseconds, after which a response is taken to be stalled at a shutdown. */
+    /** Time without progress, in microseconds, after which a response counts as stalled at a shutdown. */
     private static final long MAX_STALL_AT_SHUTDOWN_US = 400_000;
     /**
      * Low and high limit, in bytes, of data that waits to be written to a peer. Above the high limit no more
--- a/src/main/java/passhatch/proxy/ClientConnection.java
+++ b/src/main/java/passhatch/proxy/ClientConnection.java
@@ -51,7 +51,7 @@
     private static final int WRITE_TIMEOUT_S = 10;
     /**
      * A close by the client is not seen while input before it is unread. Once input has been unread for this
-     * long, the requests of the connection are not sent to backends: none may reach one 0.1 s after the close.
+     * long, the requests of the connection are not sent to backends: none may arrive 0.1 s after the close.
      */
     private static final long MAX_UNREAD_US = 50_000;
     /** Time without input after which a client whose input was paused is taken to have no more of it. */
--- a/src/main/java/passhatch/proxy/RequestEndEstimate.java
+++ b/src/main/java/passhatch/proxy/RequestEndEstimate.java
@@ -4,9 +4,9 @@
 
 /**
  * Estimates when a client can have written the last byte of a request at the earliest. A client's time runs
- * from that byte, which may wait unread for long if the server reads slowly. What a client has written and the
- * proxy has not read fits into the buffers of the system: as long as more is missing, or more came since, the
- * last byte was not written. Used by the event loop only; times are in microseconds of the proxy's clock.
+ * from that byte, which may wait unread for long if the server reads slowly. What a client has written and
+ * the proxy has not read fits into the buffers of the system: as long as more is missing, or more came since,
+ * the last byte was not written. Used by the event loop only; times are in microseconds of the proxy's clock.
  */
 final class RequestEndEstimate {
 
