Move the hash of ids out of HashRing into a class of its own

Cause: the network code needs the same hash for the ids of requests. Result: SubsettingTest and PolicyFilesTest pass (12); no behaviour changes.

--- a/src/main/java/passhatch/HashRing.java
+++ b/src/main/java/passhatch/HashRing.java
@@ -81,7 +81,8 @@
                     : Arrays.copyOf(serversBySlot, serversBySlot.length * 2);
             serversBySlot[server.slot] = server;
             for (int k = 0; k < POINTS_PER_SERVER; k++) {
-                newPoints[newCount++] = mix(server.hash + k * GOLDEN_GAMMA) >>> 1 & ~SLOT_MASK | server.slot;
+                newPoints[newCount++] =
+                        StableHash.mix(server.hash + k * GOLDEN_GAMMA) >>> 1 & ~SLOT_MASK | server.slot;
             }
         }
         Arrays.sort(newPoints);
@@ -113,7 +114,7 @@
      * of pseudo-random positions, one for each round.
      */
     int firstPointAfter(int replica, int round) {
-        long position = mix(replica * GOLDEN_GAMMA + mix(round)) >>> 1;
+        long position = StableHash.mix(replica * GOLDEN_GAMMA + StableHash.mix(round)) >>> 1;
         int pointIndex = bucketStarts[(int) (position >>> bucketShift)];
         while (pointIndex < points.length && points[pointIndex] < position) {
             pointIndex++;
@@ -133,30 +134,11 @@
 
     /** A pseudo-random number from 0 to below 1 that depends on the seed alone. */
     static double uniformFraction(long seed) {
-        return (mix(seed) >>> 11) * 0x1p-53;
+        return (StableHash.mix(seed) >>> 11) * 0x1p-53;
     }
 
     /** The number below the bound that a server draws at an index of its own pseudo-random sequence. */
     static int draw(ServerState server, int drawIndex, int bound) {
-        return (int) Math.floorMod(mix(server.hash + mix(drawIndex)), (long) bound);
-    }
-
-    /**
-     * A hash of an id that is the same in every process (FNV-1a, then mixed). It has 64 bits, as two servers
-     * must not have the same points.
-     */
-    static long hash(String id) {
-        long hash = 0xcbf29ce484222325L;
-        for (int i = 0; i < id.length(); i++) {
-            hash = (hash ^ id.charAt(i)) * 0x100000001b3L;
-        }
-        return mix(hash);
-    }
-
-    /** The finaliser of SplitMix64 (Steele, Lea and Flood, 2014). */
-    private static long mix(long value) {
-        long mixedOnce = (value ^ value >>> 30) * 0xbf58476d1ce4e5b9L;
-        long mixedTwice = (mixedOnce ^ mixedOnce >>> 27) * 0x94d049bb133111ebL;
-        return mixedTwice ^ mixedTwice >>> 31;
+        return (int) Math.floorMod(StableHash.mix(server.hash + StableHash.mix(drawIndex)), (long) bound);
     }
 }
--- a/src/main/java/passhatch/ServerState.java
+++ b/src/main/java/passhatch/ServerState.java
@@ -68,7 +68,7 @@
 
     ServerState(String id) {
         this.id = id;
-        this.hash = HashRing.hash(id);
+        this.hash = StableHash.of(id);
     }
 
     /** Whether it may get calls now: it is not disabled, not ejected and past its earliest time. */
