Count the event loop's delay into the time for which input was unread

Cause: input counted as unread from its first read, which a busy event loop does up to 50 ms after it came; with the 50 ms for which it was still handled, that is over 0.1 s.

Change: the delay of the event loop at the first read is counted too, and unread input is handled for 30 ms. lab pressure sends some requests first, so that the timed ones do not wait for code that is used for the first time. The statuses of rejections are named in a list.

--- a/lab/src/main/java/passhatch/lab/pressure/PressureRun.java
+++ b/lab/src/main/java/passhatch/lab/pressure/PressureRun.java
@@ -32,6 +32,8 @@
     private static final Duration SOUND_PERIOD = Duration.ofSeconds(6);
     private static final Duration SOUND_TIME = Duration.ofMillis(1_500);
     private static final int SOUND_BODY_BYTES = 1_000;
+    /** Requests before those that are timed, so that these do not wait for code that is used first. */
+    private static final int WARM_UP_REQUESTS = 40;
     /** Time for the clients that hold something to connect before the first sound request. */
     private static final Duration HEAD_START = Duration.ofMillis(500);
 
@@ -111,6 +113,9 @@
     /** Sends requests of one kind at the same time and waits for their ends. */
     public Timing time(String scenario) throws InterruptedException {
         TimedRequest kind = TimedRequest.valueOf(scenario);
+        for (int i = 0; i < WARM_UP_REQUESTS; i++) {
+            sendSoundRequest(i);
+        }
         Queue<HttpCall.Result> results = new ConcurrentLinkedQueue<>();
         List<Thread> threads = new ArrayList<>();
         for (int i = 0; i < TimedRequest.REQUESTS; i++) {
--- a/src/main/java/passhatch/proxy/ClientConnection.java
+++ b/src/main/java/passhatch/proxy/ClientConnection.java
@@ -53,7 +53,7 @@
      * A close by the client is not seen while input before it is unread. Once input has been unread for this
      * long, the requests of the connection are not sent to backends: none may arrive 0.1 s after the close.
      */
-    private static final long MAX_UNREAD_US = 50_000;
+    private static final long MAX_UNREAD_US = 30_000;
     /** Time without input after which a client whose input was paused is taken to have no more of it. */
     private static final long NOTHING_FOLLOWS_MS = 5;
     /** Reads that look for a close behind the end of a request. */
@@ -135,7 +135,7 @@
     ClientConnection(ClientServer server, Channel channel, Clock clock, long queueTimeUs) {
         this.server = server;
         this.channel = channel;
-        this.transfers = new TransferMonitor(clock, queueTimeUs);
+        this.transfers = new TransferMonitor(clock, queueTimeUs, server::maxUnreadUs);
         this.memory = new MemoryAccount(server.memory().input(), clock, server::reclaimMemory);
         this.reader = new RequestReader(memory);
         this.readAhead = new ReadAheadBuffer(memory);
@@ -492,7 +492,7 @@
 
     /** Whether input has been unread for so long that the client may have closed the connection unnoticed. */
     private boolean mayHaveMissedClose() {
-        return transfers.hasUnread() && server.waitedUs(transfers.unreadSinceUs()) > MAX_UNREAD_US;
+        return transfers.hasUnread() && server.nowUs() - transfers.unreadSinceUs() > MAX_UNREAD_US;
     }
 
     /** Ignores input behind the last request, which is read only so that a close by the client is seen. */
--- a/src/main/java/passhatch/proxy/ClientServer.java
+++ b/src/main/java/passhatch/proxy/ClientServer.java
@@ -51,6 +51,10 @@
     /** Delays from this on are logged: the rules allow less between reading the clock and writing. */
     private static final long LOGGED_LOOP_DELAY_US = 150_000;
 
+    /** Statuses of rejections, whose counts are shown from the start. */
+    private static final List<Integer> REJECTION_STATUSES =
+            List.of(400, 404, 408, 413, 417, 431, 502, 503);
+
     private final EventLoop loop;
     private final Clock clock;
     private final EventLog log;
@@ -68,8 +72,7 @@
     /** Number of connections that were closed in the accept queue. */
     private long closedUnread;
     /** Requests that were rejected before they reached the decision module, by status. */
-    private final Map<Integer, Long> rejections = new TreeMap<>(Map.of(400, 0L, 404, 0L, 408, 0L, 413, 0L,
-            417, 0L, 431, 0L, 502, 0L, 503, 0L));
+    private final Map<Integer, Long> rejections = new TreeMap<>();
     /** How often reading from a client was paused and went on, and the longest of these pauses. */
     private long readingPauses;
     private long longestReadingPauseUs;
@@ -91,6 +94,7 @@
         this.memory = memory;
         this.drainState = drainState;
         this.nextLoopCheckUs = clock.nowUs();
+        REJECTION_STATUSES.forEach(status -> rejections.put(status, 0L));
         RepeatingTask.start(loop, log, "check of the loop's delay", LOOP_CHECK_INTERVAL_US,
                 this::checkLoopDelay);
         RepeatingTask.start(loop, log, "check for stalled connections", STALLED_CHECK_INTERVAL_US,
@@ -211,7 +215,7 @@
      * when it sent the request, also while this process was blocked. The event loop may run the delay check
      * before it reads what arrived meanwhile, so a measured delay counts until the next check.
      */
-    private long maxUnreadUs() {
+    long maxUnreadUs() {
         return Math.max(lastLoopDelayUs, currentLoopDelayUs());
     }
 
--- a/src/main/java/passhatch/proxy/Console.java
+++ b/src/main/java/passhatch/proxy/Console.java
@@ -115,7 +115,7 @@
     /** One connection and its request. */
     private final class Connection extends SimpleChannelInboundHandler<FullHttpRequest> {
         private final SocketChannel channel;
-        private final TransferMonitor transfers = new TransferMonitor(clock, 0);
+        private final TransferMonitor transfers = new TransferMonitor(clock, 0, () -> 0);
         private State state = State.AWAITING_REQUEST;
 
         Connection(SocketChannel channel) {
--- a/src/main/java/passhatch/proxy/TransferMonitor.java
+++ b/src/main/java/passhatch/proxy/TransferMonitor.java
@@ -4,6 +4,7 @@
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPromise;
+import java.util.function.LongSupplier;
 
 /**
  * Tells when bytes of a connection were last received, and for how long its peer has accepted none of those
@@ -12,6 +13,7 @@
 final class TransferMonitor extends ChannelDuplexHandler {
 
     private final Clock clock;
+    private final LongSupplier readDelayUs;
     private long lastReceivedUs;
     private long receivedBytes;
     /** How long the first input may have waited for the connection to be accepted. */
@@ -28,10 +30,12 @@
      * Creates a monitor of a connection that is accepted now.
      *
      * @param queueTimeUs how long its first input may have waited for that, in microseconds
+     * @param readDelayUs how long input that is read now may have waited for the event loop, in microseconds
      */
-    TransferMonitor(Clock clock, long queueTimeUs) {
+    TransferMonitor(Clock clock, long queueTimeUs, LongSupplier readDelayUs) {
         this.clock = clock;
         this.queueTimeUs = queueTimeUs;
+        this.readDelayUs = readDelayUs;
         this.lastReceivedUs = clock.nowUs();
     }
 
@@ -41,7 +45,7 @@
         receivedBytes += ((ByteBuf) message).readableBytes();
         if (!hasUnread) {
             hasUnread = true;
-            unreadSinceUs = lastReceivedUs - queueTimeUs;
+            unreadSinceUs = lastReceivedUs - Math.max(queueTimeUs, readDelayUs.getAsLong());
             queueTimeUs = 0;
         }
         ctx.fireChannelRead(message);
