Do not run a request again whose id may have run, at either process of an upgrade

Cause: an id was known only as long as its request was open; once the client had left and the attempt was cancelled it was forgotten, and the other process never knew it.

The processes of an upgrade map the same file of the state directory; without one each has its own table. An id is claimed just before its request is written and released if no server can have run it. A request with a claimed id gets 409: failed, as a refusal would promise that nothing has run.

SlowServerTest guards both.

--- a/lab/src/main/java/passhatch/proxy/WatchingProxy.java
+++ b/lab/src/main/java/passhatch/proxy/WatchingProxy.java
@@ -57,7 +57,7 @@
         proxy = new ProxyLoop(loop, clock, eventLog, config, pool,
                 (moduleSettings, moduleSeed, actions) ->
                 new ObservedBalancer(new LeastLoadedBalancer(moduleSettings, moduleSeed, actions), observer),
-                memory);
+                memory, RequestIdTable.ofThisProcess());
     }
 
     /** Closes the watch for good. Must be called in the event loop of the proxy. */
--- a/lab/src/test/java/passhatch/lab/pressure/SlowServerTest.java
+++ b/lab/src/test/java/passhatch/lab/pressure/SlowServerTest.java
@@ -42,4 +42,17 @@
         PressureRun.Timing timing = time(scenario);
         assertEquals(List.of(), timing.sentAfterClose(), timing::summary);
     }
+
+    // Guards against an id that was forgotten when its client left, and by the other process of an upgrade.
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void anIdThatMustRunOnceDoesNotRunAgainAfterItsClientLeft(boolean upgrade) throws Exception {
+        try (PressureRun run = new PressureRun(Path.of(".."), PressureRun.MEMORY_MB)) {
+            if (upgrade) {
+                run.startProxy();
+            }
+            PressureRun.Timing timing = run.time("REPEATED_ID");
+            assertEquals(List.of(), timing.ranTwice(), timing::summary);
+        }
+    }
 }
--- a/src/main/java/passhatch/proxy/ClientConnection.java
+++ b/src/main/java/passhatch/proxy/ClientConnection.java
@@ -690,6 +690,10 @@
             throw new RequestParser.InvalidRequestException(HttpResponseStatus.SERVICE_UNAVAILABLE,
                     "the memory for responses and streamed bodies is exhausted");
         }
+        if (server.proxy().mayHaveRunBefore(proxyRequest)) {
+            throw new RequestParser.InvalidRequestException(HttpResponseStatus.CONFLICT,
+                    "a request with its X-Request-Id may have run");
+        }
         request.setActiveId(proxyRequest.id());
         if (!server.proxy().accept(proxyRequest, request)) {
             // The id belongs to another request, which must not be affected by events of this connection.
--- a/src/main/java/passhatch/proxy/ClientServer.java
+++ b/src/main/java/passhatch/proxy/ClientServer.java
@@ -53,7 +53,7 @@
 
     /** Statuses of rejections, whose counts are shown from the start. */
     private static final List<Integer> REJECTION_STATUSES =
-            List.of(400, 404, 408, 413, 417, 431, 502, 503);
+            List.of(400, 404, 408, 409, 413, 417, 431, 502, 503);
 
     private final EventLoop loop;
     private final Clock clock;
--- a/src/main/java/passhatch/proxy/Exchange.java
+++ b/src/main/java/passhatch/proxy/Exchange.java
@@ -23,6 +23,8 @@
     Attempt streamedAttempt;
     long streamStartedAtUs;
     ResponseSink sink;
+    /** Whether its id is claimed, so that no other request with it may run. */
+    boolean idClaimed;
 
     Exchange(ProxyRequest request, ProxyLoop.Responder responder, long deadlineUs) {
         this.request = request;
@@ -50,6 +52,11 @@
         return attempts.stream().anyMatch(a -> a.outcome == null || !a.outcome.provesNotRun);
     }
 
+    /** Whether a server has got all of it, and has not proved that it did not run it. */
+    boolean hasReachedServer() {
+        return attempts.stream().anyMatch(a -> a.written && (a.outcome == null || !a.outcome.provesNotRun));
+    }
+
     /** An attempt of a request. */
     static final class Attempt {
         final int number;
@@ -60,6 +67,8 @@
         Handle handle;
         /** Null while it is in flight. */
         Outcome outcome;
+        /** Whether its last byte has been written. */
+        boolean written;
 
         Attempt(int number, String server, long sentAtUs) {
             this.number = number;
--- a/src/main/java/passhatch/proxy/ProxyLoop.java
+++ b/src/main/java/passhatch/proxy/ProxyLoop.java
@@ -23,6 +23,7 @@
 import passhatch.Balancer;
 import passhatch.Balancer.Actions;
 import passhatch.Balancer.DiscoveryFailure;
+import passhatch.Balancer.Effect;
 import passhatch.Balancer.GiveUpReason;
 import passhatch.Balancer.ListKind;
 import passhatch.Balancer.LoadReport;
@@ -92,6 +93,7 @@
     private final Metrics metrics;
     private final ProxyMemory memory;
     private final SendGuard guard;
+    private final RequestIdTable writtenIds;
     private final List<RequestClass> classes;
     private final int maxAttempts;
     private final Map<String, Exchange> exchanges = new HashMap<>();
@@ -114,8 +116,9 @@
     private record ModuleEvent(Runnable delivery, Runnable recovery) { }
 
     ProxyLoop(EventLoop loop, Clock clock, EventLog log, ProxyConfig config, BackendPool pool,
-            ProxyServer.ModuleFactory module, ProxyMemory memory) {
+            ProxyServer.ModuleFactory module, ProxyMemory memory, RequestIdTable writtenIds) {
         this.loop = loop;
+        this.writtenIds = writtenIds;
         this.clock = clock;
         this.log = log;
         this.pool = pool;
@@ -297,6 +300,36 @@
         return true;
     }
 
+    /**
+     * Whether an earlier request with the id may have run, and its class forbids that it runs twice. The id
+     * may have come to the other process of an upgrade, and its client may have left.
+     */
+    boolean mayHaveRunBefore(ProxyRequest request) {
+        return mustRunOnce(request) && !exchanges.containsKey(request.id())
+                && writtenIds.contains(request.id());
+    }
+
+    private boolean mustRunOnce(ProxyRequest request) {
+        return classes.get(request.requestClass()).effect() != Effect.SAFE;
+    }
+
+    /**
+     * Claims the id of a request that is about to be written; false if a request with it may run elsewhere,
+     * and this one has failed.
+     */
+    private boolean claimId(Exchange exchange) {
+        if (!mustRunOnce(exchange.request) || exchange.idClaimed) {
+            return true;
+        }
+        exchange.idClaimed = writtenIds.claim(exchange.request.id());
+        if (!exchange.idClaimed) {
+            guard.recordIdClaimed();
+            loop.execute(FailureIsolation.isolated(log, "the end of a repeated request",
+                    () -> failAfterError(exchange)));
+        }
+        return exchange.idClaimed;
+    }
+
     /** Counts a request that is refused before it is accepted, because too many bytes are held. */
     void refuseForMemory(ProxyRequest request) {
         metrics.requestEnded(request.requestClass(), Metrics.RequestResult.OVERLOAD);
@@ -590,8 +623,12 @@
                                 exchange.responded || exchange.streamedAttempt != null,
                                 exchange.responder.isClientPresent(), backend.available,
                                 exchange.request.body().canBeSent(),
-                                balancer.maySend(clock.nowUs(), id, attempt.number))),
-                        metrics::attemptSent,
+                                balancer.maySend(clock.nowUs(), id, attempt.number)))
+                                && claimId(exchange),
+                        () -> {
+                            attempt.written = true;
+                            metrics.attemptSent();
+                        },
                         exchange.incomplete ? BackendPool.NO_TIMEOUT : attemptTimeoutUs,
                         Outcome.TIMEOUT),
                 new BackendPool.Listener() {
@@ -778,6 +815,9 @@
     private void removeIfFinished(Exchange exchange) {
         if (exchange.responded && exchange.attempts.stream().allMatch(a -> a.outcome != null)) {
             exchanges.remove(exchange.request.id(), exchange);
+            if (exchange.idClaimed && !exchange.hasReachedServer()) {
+                writtenIds.release(exchange.request.id());
+            }
         }
     }
 }
--- a/src/main/java/passhatch/proxy/ProxyServer.java
+++ b/src/main/java/passhatch/proxy/ProxyServer.java
@@ -241,7 +241,8 @@
                 memory.transfer());
         RepeatingTask.start(loop, log, "close of stale backend connections", POOL_SWEEP_INTERVAL_US,
                 backendPool::closeStale);
-        proxy = new ProxyLoop(loop, clock, log, config, backendPool, moduleFactory, memory);
+        proxy = new ProxyLoop(loop, clock, log, config, backendPool, moduleFactory, memory,
+                requestIds(config));
         drainState = new DrainState(loop);
         console = new Console(loop, clock, log, new ConsoleRoutes(new ConsoleOperations()));
         clientServer = new ClientServer(loop, clock, log, new RequestParser(config), proxy, clientDescriptors,
@@ -252,6 +253,19 @@
         }
     }
 
+    /** The ids of sent requests; shared with the other process of an upgrade where there may be one. */
+    private RequestIdTable requestIds(ProxyConfig config) {
+        if (config.console() != null && config.stateDirectory() != null) {
+            try {
+                return RequestIdTable.sharedIn(
+                        StateDirectory.requestIdFile(config.stateDirectory(), config.name()));
+            } catch (IOException | RuntimeException e) {
+                log.line("handover: the ids of requests cannot be shared with another process: " + e);
+            }
+        }
+        return RequestIdTable.ofThisProcess();
+    }
+
     private int sharedDescriptors(int descriptors) {
         return Math.max(8, descriptors - reservedDescriptors);
     }
--- a/src/main/java/passhatch/proxy/SendGuard.java
+++ b/src/main/java/passhatch/proxy/SendGuard.java
@@ -24,6 +24,8 @@
         BACKEND_GONE,
         /** A part of the body was sent in another attempt and is no longer buffered. */
         BODY_SPENT,
+        /** A request with the same id has been written by the other process of an upgrade. */
+        ID_CLAIMED,
         /**
          * The decision module forbids it: the request's time or its deduplication window is over, or the
          * backend is disabled.
@@ -105,6 +107,11 @@
         return reason == null;
     }
 
+    /** Counts an attempt that is not written because another process has written its request. */
+    void recordIdClaimed() {
+        heldBack.merge(HeldBack.ID_CLAIMED, 1L, Long::sum);
+    }
+
     private static HeldBack reasonNotToWrite(WriteConditions conditions) {
         if (conditions.responseStarted()) {
             return HeldBack.ANSWERED;
--- a/src/main/java/passhatch/proxy/StateDirectory.java
+++ b/src/main/java/passhatch/proxy/StateDirectory.java
@@ -56,9 +56,7 @@
      */
     StateDirectory(Path directory, String proxyName) throws IOException {
         this.directory = directory;
-        // Hyphens in the name are encoded, so that the files of a proxy n1-b do not match the prefix of n1.
-        String encodedName = URLEncoder.encode(proxyName, StandardCharsets.UTF_8).replace("-", "%2D");
-        this.prefix = "passhatch-" + encodedName + "-";
+        this.prefix = prefix(proxyName);
         // Locked before it is renamed, because a liveness file without a lock counts as that of a dead
         // process.
         Path temporary = directory.resolve(prefix + id + ".new");
@@ -69,6 +67,16 @@
         Files.move(temporary, file(id + LIVENESS_SUFFIX), StandardCopyOption.ATOMIC_MOVE);
     }
 
+    /** Hyphens in the name are encoded, so that the files of a proxy n1-b do not match the prefix of n1. */
+    private static String prefix(String proxyName) {
+        return "passhatch-" + URLEncoder.encode(proxyName, StandardCharsets.UTF_8).replace("-", "%2D") + "-";
+    }
+
+    /** The file with the ids of requests that the processes of a proxy have sent. */
+    static Path requestIdFile(Path directory, String proxyName) {
+        return directory.resolve(prefix(proxyName) + "ids");
+    }
+
     private Path file(String name) {
         return directory.resolve(prefix + name);
     }
--- a/src/test/java/passhatch/proxy/OneFailureManyOwedTest.java
+++ b/src/test/java/passhatch/proxy/OneFailureManyOwedTest.java
@@ -226,7 +226,8 @@
         Map<String, String> environment = new HashMap<>(rig.environment());
         environment.put("PROXY_DISCOVERY", "127.0.0.1:" + rig.discovery().address().getPort());
         ProxyConfig config = ProxyConfig.read(environment);
-        return loop.submit(() -> new ProxyLoop(loop, new Clock(), log, config, pool, module, memory)).get();
+        return loop.submit(() -> new ProxyLoop(loop, new Clock(), log, config, pool, module, memory,
+                RequestIdTable.ofThisProcess())).get();
     }
 
     private ProxyRequest request(String id) {
