--- a/lab/src/main/java/passhatch/lab/SoakCommand.java
+++ b/lab/src/main/java/passhatch/lab/SoakCommand.java
@@ -18,6 +18,9 @@
 
     private static final int MAX_VIOLATIONS_SHOWN = 10;
 
+    /** One run of so many has a crowd. */
+    private static final int CROWD_EVERY = 3;
+
     @Option(names = "--root", defaultValue = ".", paramLabel = "DIR",
             description = "directory of the project, with the service built (default: ${DEFAULT-VALUE})")
     private Path root;
@@ -49,6 +52,11 @@
             description = "mean number of faults that begin per second (default: ${DEFAULT-VALUE})")
     private double faultsPerSecond;
 
+    @Option(names = "--crowd", defaultValue = "130",
+            description = "connections without a sound request at each proxy, in every third run "
+                    + "(default: ${DEFAULT-VALUE}; a proxy of a run may have 118 clients)")
+    private int crowd;
+
     @Override
     public Integer call() throws IOException, InterruptedException {
         int failedRuns = 0;
@@ -57,7 +65,7 @@
             Size size = new Size(proxies, backends, Duration.ofSeconds(runSeconds), faultsPerSecond,
                     runSeed % 2 == 0, new CallCosts(Duration.ofMillis(20), Duration.ZERO,
                     Duration.ofSeconds(3),
-                            proxies, Duration.ofMillis(5)));
+                            proxies, Duration.ofMillis(5)), runSeed % CROWD_EVERY == 0 ? crowd : 0);
             Report report = runOnce(runSeed, size);
             System.out.println(report);
             report.violations().stream().limit(MAX_VIOLATIONS_SHOWN)
--- a/lab/src/main/java/passhatch/lab/soak/FaultPlan.java
+++ b/lab/src/main/java/passhatch/lab/soak/FaultPlan.java
@@ -50,6 +50,8 @@
          * duration.
          */
         PROXY_TERMINATED(200, 1_500),
+        /** A proxy gets several signals in quick succession and runs on. */
+        SIGNALS_IN_SERIES(0, 0),
         /** A proxy is stopped (SIGSTOP) for up to the time that the rules allow for, then continued. */
         PROXY_PAUSED(20, 120),
         /** The wall clock of a proxy is off. */
