Derive the memory budgets from the limit in the configuration, for both processes

Seen by operators: a process passed the limit on memory of its settings; limits.memory_mb was not read.

Cause: budgets followed from the heap alone, whatever the limit was and however many processes share it.

Change: limits.memory_mb is read (192 if missing). What it leaves of the share of each process beside the 84 MB that a process takes itself bounds the budgets; where the console allows for an upgrade, two processes share it.

--- a/lab/src/main/java/passhatch/proxy/WatchingProxy.java
+++ b/lab/src/main/java/passhatch/proxy/WatchingProxy.java
@@ -18,6 +18,8 @@
 
     private static final long CONNECT_TIMEOUT_US = 250_000;
     /** Limit of the connections to backends; none is opened without requests. */
+    /** Limit on memory in the configuration, in MB. */
+    private static final int MEMORY_MB = 192;
     private static final int MAX_BACKEND_CONNECTIONS = 1;
 
     private final ProxyLoop proxy;
@@ -47,8 +49,8 @@
             List<String> zones, List<String> machineTypes, Observer observer, PrintStream log) {
         ProxyConfig config = new ProxyConfig("simulated", new InetSocketAddress(
                 InetAddress.getLoopbackAddress(), 0), discovery, seed, settings, List.of("any"), List.of(),
-                zones, machineTypes, CONNECT_TIMEOUT_US, MAX_BACKEND_CONNECTIONS, EndpointList.EMPTY, null,
-                null);
+                zones, machineTypes, CONNECT_TIMEOUT_US, MAX_BACKEND_CONNECTIONS, MEMORY_MB,
+                EndpointList.EMPTY, null, null);
         Clock clock = new Clock();
         EventLog eventLog = new EventLog(log);
         ProxyMemory memory = ProxyMemory.ofHeap(Runtime.getRuntime().maxMemory());
--- a/src/main/java/passhatch/proxy/ProxyConfig.java
+++ b/src/main/java/passhatch/proxy/ProxyConfig.java
@@ -31,6 +31,7 @@
  * @param connectTimeoutUs a connection to a backend that takes longer to establish, in microseconds, has
  *     failed
  * @param maxDescriptors file descriptors that this process may have open
+ * @param memoryMb memory that the processes of this proxy may take together, in MB
  * @param cachedList the list of backends that this proxy last received; empty if there is none
  * @param console address of the operators' console, or null if there is none
  * @param stateDirectory directory for the files that the processes of this proxy share, or null if there is
@@ -38,12 +39,19 @@
  */
 record ProxyConfig(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed,
         Settings settings, List<String> classes, List<String> tenants, List<String> zones,
-        List<String> machineTypes, long connectTimeoutUs, int maxDescriptors, EndpointList cachedList,
+        List<String> machineTypes, long connectTimeoutUs, int maxDescriptors, int memoryMb, EndpointList cachedList,
         InetSocketAddress console, Path stateDirectory) {
 
     private static final long DEFAULT_CONNECT_TIMEOUT_US = 250_000;
     /** Descriptors that a process may have open if the file does not say. */
     private static final int DEFAULT_SOCKETS = 1024;
+    /** Memory that the processes may take together if the file does not say, in MB. */
+    private static final int DEFAULT_MEMORY_MB = 192;
+
+    /** How many processes of the proxy may run at a time: two in an upgrade, which needs a console. */
+    int maxProcesses() {
+        return console == null ? 1 : 2;
+    }
 
     /** The configuration is missing, unreadable or invalid; the message is one line. */
     static final class InvalidConfigException extends Exception {
@@ -104,6 +112,7 @@
                 positiveInteger("settings: limits.connectTimeoutUs", connectTimeout,
                         DEFAULT_CONNECT_TIMEOUT_US),
                 (int) positiveInteger("limits.sockets", processLimits.get("sockets"), DEFAULT_SOCKETS),
+                (int) positiveInteger("limits.memory_mb", processLimits.get("memory_mb"), DEFAULT_MEMORY_MB),
                 cachedList, console(env, file), stateDirectory(env));
     }
 
--- a/src/main/java/passhatch/proxy/ProxyMemory.java
+++ b/src/main/java/passhatch/proxy/ProxyMemory.java
@@ -16,6 +16,11 @@
     /** Bytes on their way may occupy the maximum heap size divided by this. */
     private static final int TRANSFER_HEAP_DIVISOR = 5;
     private static final long MAX_BUDGET_BYTES = 1L << 30;
+    /** What a process takes without the bytes in the budgets: its heap, its code, its libraries. */
+    static final int PROCESS_MB = 84;
+    /** Least part of the budgets that follow from the heap, as a divisor, however low the limit is. */
+    private static final int MIN_SHARE_DIVISOR = 3;
+    private static final long BYTES_PER_MB = 1L << 20;
 
     /** Returns budgets that fit a heap of the size. */
     static ProxyMemory ofHeap(long maxHeapBytes) {
@@ -24,6 +29,27 @@
                 new MemoryBudget((int) Math.min(MAX_BUDGET_BYTES, maxHeapBytes / TRANSFER_HEAP_DIVISOR)));
     }
 
+    /**
+     * Returns budgets that fit the heap and the limit on memory of all processes of the proxy together. A
+     * limit that leaves nothing beside the processes themselves cannot be kept; the budgets are small then.
+     *
+     * @param maxHeapBytes the maximum size of the heap, in bytes
+     * @param limitMb the limit from the configuration, in MB
+     * @param processes how many processes may run at a time
+     */
+    static ProxyMemory of(long maxHeapBytes, int limitMb, int processes) {
+        double heapShare = 1.0 / INPUT_HEAP_DIVISOR + 1.0 / TRANSFER_HEAP_DIVISOR;
+        double wantedBytes = maxHeapBytes * heapShare;
+        double leftBytes = ((double) limitMb / processes - PROCESS_MB) * BYTES_PER_MB;
+        double budgetBytes = Math.max(wantedBytes / MIN_SHARE_DIVISOR, Math.min(wantedBytes, leftBytes));
+        return ofHeap((long) (budgetBytes / heapShare));
+    }
+
+    /** Whether the limit leaves room for so many processes. */
+    static boolean fits(int limitMb, int processes) {
+        return limitMb >= PROCESS_MB * processes;
+    }
+
     /** Adds what is held now, and the most that was held at a time, in bytes. */
     void addMetrics(Metrics.Sink sink) {
         sink.add("memory.input_bytes", input.heldBytes());
--- a/src/main/java/passhatch/proxy/ProxyServer.java
+++ b/src/main/java/passhatch/proxy/ProxyServer.java
@@ -108,8 +108,10 @@
         NettyDefaults.apply();
         ProxyServer server;
         try {
-            server = start(ProxyConfig.read(env), new EventLog(err), LeastLoadedBalancer::new, new Clock(),
-                    ProxyMemory.ofHeap(Runtime.getRuntime().maxMemory()), () -> haltAfterLoopFailure(err));
+            ProxyConfig config = ProxyConfig.read(env);
+            EventLog log = new EventLog(err);
+            server = start(config, log, LeastLoadedBalancer::new, new Clock(), memoryOf(config, log),
+                    () -> haltAfterLoopFailure(err));
         } catch (ProxyConfig.InvalidConfigException e) {
             err.println("passhatch: " + e.getMessage());
             return 2;
@@ -133,6 +135,16 @@
         return server.exitStatus;
     }
 
+    /** The memory budgets, which follow from the heap and the limit in the configuration. */
+    private static ProxyMemory memoryOf(ProxyConfig config, EventLog log) {
+        int processes = config.maxProcesses();
+        if (!ProxyMemory.fits(config.memoryMb(), processes)) {
+            log.line("limits.memory_mb is " + config.memoryMb() + ", but " + processes + " process(es) take "
+                    + processes * ProxyMemory.PROCESS_MB + " MB before they hold anything for clients");
+        }
+        return ProxyMemory.of(Runtime.getRuntime().maxMemory(), config.memoryMb(), processes);
+    }
+
     /**
      * Ends the process, whose event loop has ended: it could answer nothing any more, but would keep its
      * clients and its address. There may be no memory left, so the process ends even if nothing can be
