Lab pressure: measure the memory of both processes of an upgrade together

Cause: the tool read the peak of each process at the end, where the first one of an upgrade has ended. Change: a sampler adds up the resident memory of all processes; an upgrade sends the first process SIGTERM.

--- a/lab/src/main/java/passhatch/lab/pressure/DeployedProxy.java
+++ b/lab/src/main/java/passhatch/lab/pressure/DeployedProxy.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.jr.ob.JSON;
 import java.io.Closeable;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -143,7 +144,7 @@
     }
 
     /** Memory in kB by its name in the status file of the process; 0 if the process has ended. */
-    long memoryKb(String name) throws IOException {
+    long memoryKb(String name) {
         Path status = Path.of("/proc", Long.toString(process.pid()), "status");
         if (!process.isAlive()) {
             return 0;
@@ -151,6 +152,8 @@
         try (Stream<String> lines = Files.lines(status)) {
             return lines.filter(line -> line.startsWith(name + ":"))
                     .mapToLong(line -> Long.parseLong(line.replaceAll("\\D", ""))).findFirst().orElse(0);
+        } catch (IOException | UncheckedIOException ended) {
+            return 0;
         }
     }
 
--- a/lab/src/main/java/passhatch/lab/pressure/PressureRun.java
+++ b/lab/src/main/java/passhatch/lab/pressure/PressureRun.java
@@ -14,6 +14,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import passhatch.lab.discovery.CallCosts;
 import passhatch.lab.discovery.DiscoveryListener;
@@ -44,7 +45,7 @@
     private final PacedBackends backends;
     private final DiscoveryServer discovery;
     private final DeployedProxy.Deployment deployment;
-    private final List<DeployedProxy> proxies = new ArrayList<>();
+    private final List<DeployedProxy> proxies = new CopyOnWriteArrayList<>();
 
     /**
      * Starts servers, discovery and a proxy, and waits until it is ready.
@@ -163,9 +164,14 @@
         }
     }
 
-    /** What became of the sound requests, and what the processes needed. */
+    /**
+     * What became of the sound requests, and what the processes needed.
+     *
+     * @param alive whether no process has ended that was not told to
+     * @param peakMemoryKb the most memory that all processes together had at a time, in kB
+     */
     public record Report(String scenario, int clients, int sound, Map<Ending, Integer> endings,
-            Map<Integer, Integer> statuses, boolean alive, List<Long> peakMemoryKb, String metrics,
+            Map<Integer, Integer> statuses, boolean alive, long peakMemoryKb, String metrics,
             String log) {
 
         int count(Ending ending) {
@@ -197,9 +203,12 @@
             threads.add(DaemonThreads.start(() -> kind.holdRepeatedly(deployment.address(), name, endNs)));
         }
         TimeUnit.MILLISECONDS.sleep(HEAD_START.toMillis());
+        DeployedProxy first = proxy();
+        MemorySampler sampler = new MemorySampler(proxies);
+        threads.add(DaemonThreads.start(sampler::run));
         if (upgrade) {
             startProxy();
-            proxy().signal("TERM");
+            first.signal("TERM");
         }
         Queue<HttpCall.Result> results = sendSoundRequests();
         Map<Ending, Integer> endings = new EnumMap<>(Ending.class);
@@ -208,13 +217,9 @@
             endings.merge(result.ending(), 1, Integer::sum);
             statuses.merge(result.status(), 1, Integer::sum);
         }
-        List<Long> peaks = new ArrayList<>();
-        for (DeployedProxy proxy : proxies) {
-            peaks.add(proxy.memoryKb("VmHWM"));
-        }
-        boolean alive = proxies.stream().allMatch(DeployedProxy::isAlive);
-        Report report = new Report(scenario, clients, SOUND_REQUESTS, endings, statuses, alive, peaks,
-                proxy().metrics(), proxy().log());
+        boolean alive = proxies.stream().allMatch(proxy -> proxy.isAlive() || upgrade && proxy == first);
+        Report report = new Report(scenario, clients, SOUND_REQUESTS, endings, statuses, alive,
+                sampler.peakKb(), first.metrics(), first.log());
         for (Thread thread : threads) {
             thread.interrupt();
         }
