Move the reading and decoding of a client connection into a class of its own

Change: InputFlow has the turns, the pauses, the time for which input is unread and the memory of the decoder. No behaviour is meant to change.

--- a/src/main/java/passhatch/proxy/ClientConnection.java
+++ b/src/main/java/passhatch/proxy/ClientConnection.java
@@ -36,11 +36,6 @@
 
     /** Unanswered complete requests of a connection beyond which no more of its input is handled. */
     private static final int MAX_PIPELINED_REQUESTS = 4;
-    /**
-     * Parts of requests that are decoded for a connection before others get their turn: one read may bring
-     * more than a thousand.
-     */
-    private static final int MAX_PARTS_PER_TURN = 64;
     /** How long input is read after the last response, so that no reset overtakes that response. */
     private static final long LINGER_TIMEOUT_MS = 200;
     /** How much input is read after the last response before the connection is closed. */
@@ -49,13 +44,6 @@
     private static final long REQUEST_REMAINDER_TIMEOUT_MS = 2_000;
     /** A client that accepts no bytes of a response for this long is considered gone. */
     private static final int WRITE_TIMEOUT_S = 10;
-    /**
-     * A close by the client is not seen while input before it is unread. Once input has been unread for this
-     * long, the requests of the connection are not sent to backends: none may arrive 0.1 s after the close.
-     */
-    private static final long MAX_UNREAD_US = 30_000;
-    /** Time without input after which a client whose input was paused is taken to have no more of it. */
-    private static final long NOTHING_FOLLOWS_MS = 5;
     /** Reads that look for a close behind the end of a request. */
     private static final int MAX_READS_AT_END = 4;
     /**
@@ -84,10 +72,7 @@
 
     private final ClientServer server;
     private final Channel channel;
-    private final RequestDecoder decoder = new RequestDecoder(this::pauseReading);
     private final MemoryAccount memory;
-    /** Bytes of the account that the decoder's undelivered input takes. */
-    private int undeliveredBytes;
     private final RequestReader reader;
     private final ReadAheadBuffer readAhead;
     /** Requests whose responses are not written completely, in the order of arrival. */
@@ -96,6 +81,8 @@
     /** The request that was accepted before its body was complete, while the body is incomplete; or null. */
     private PipelinedRequest incompleteRequest;
     private final TransferMonitor transfers;
+    private final InputFlow input;
+    private final RequestDecoder decoder;
     private final long connectedAtUs;
     /** When the first bytes arrived of a request that is incomplete; 0 if there is none. */
     private long incompleteSinceUs;
@@ -103,12 +90,6 @@
     private long lastResponseAtUs;
     /** Whether a task of the event loop is scheduled that handles buffered input. */
     private boolean handlingScheduled;
-    /** Parts that were decoded since the connection last had its turn. */
-    private int partsThisTurn;
-    /** Whether reading is paused because there is no room for more input. */
-    private boolean readingPaused;
-    /** Whether reading was paused since all input was read; the client may have more to send at once. */
-    private boolean wasPaused;
     private final RequestEndEstimate requestEnd = new RequestEndEstimate();
     /** Whether further input is discarded: the connection closes after the responses to open requests. */
     private boolean inputDiscarded;
@@ -137,6 +118,8 @@
         this.memory = new MemoryAccount(server.memory().input(), clock, server::reclaimMemory);
         this.reader = new RequestReader(memory);
         this.readAhead = new ReadAheadBuffer(memory);
+        this.input = new InputFlow(channel, clock, transfers, readAhead, memory, server::readingResumed);
+        this.decoder = input.decoder();
         this.connectedAtUs = clock.nowUs() - queueTimeUs;
     }
 
@@ -180,7 +163,7 @@
      * has not left, see {@link #isPresentAtEnd}.
      */
     boolean isClientPresent(PipelinedRequest request) {
-        return request == incompleteRequest || !mayHaveMissedClose();
+        return request == incompleteRequest || !input.mayHaveMissedClose();
     }
 
     /** The handlers of the channel's pipeline, from the socket up to and including this one. */
@@ -395,26 +378,13 @@
             return;
         }
         readAhead.add(part, transfers.unreadSinceUs());
-        partsThisTurn++;
-        if (readAhead.isFull()) {
-            decoder.pause();
-            pauseReading();
-        } else if (partsThisTurn >= MAX_PARTS_PER_TURN) {
-            decoder.pause();
-        }
-    }
-
-    /** Reads nothing more until {@link #resumeInput}. */
-    private void pauseReading() {
-        readingPaused = true;
-        wasPaused = true;
-        channel.config().setAutoRead(false);
+        input.partBuffered();
     }
 
     /** Decodes input that has been read, and reads on if that leaves room for more. */
     private void resumeInput() {
         try {
-            decoder.resume();
+            input.decode();
         } catch (Exception e) {
             channel.pipeline().fireExceptionCaught(e);
             return;
@@ -424,22 +394,12 @@
         if (!readAhead.isEmpty() || decoder.isPaused()) {
             scheduleHandling();
         }
-        if (!decoder.isPaused() && readingPaused) {
-            readingPaused = false;
-            channel.config().setAutoRead(true);
-            clearUnreadIfNothingFollows();
-        }
+        input.readOn();
     }
 
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
-        if (!readingPaused && BudgetedReceiveAllocator.isSocketDrained(channel)) {
-            if (wasPaused) {
-                clearUnreadIfNothingFollows();
-            } else {
-                transfers.allRead();
-            }
-        }
+        input.readCompleted();
         updateIncompleteSince();
         accountForUndelivered();
         scheduleHandling();
@@ -448,13 +408,7 @@
 
     /** Counts the memory that the decoder holds; rejects its request if there is none left. */
     private void accountForUndelivered() {
-        int addedBytes = (inputDiscarded ? 0 : decoder.heldBytes()) - undeliveredBytes;
-        if (addedBytes <= 0) {
-            memory.release(-addedBytes);
-            undeliveredBytes += addedBytes;
-        } else if (memory.reserve(addedBytes)) {
-            undeliveredBytes += addedBytes;
-        } else if (readAhead.isEmpty() && !decoder.isPaused()) {
+        if (!inputDiscarded && !input.reserveUndelivered()) {
             logEvent("request refused with 503 Service Unavailable: the memory for heads is exhausted");
             rejectRequest(HttpResponseStatus.SERVICE_UNAVAILABLE);
         }
@@ -466,14 +420,14 @@
      * told, the request is rejected: no server has all of it.
      */
     private boolean isPresentAtEnd() {
-        for (int reads = 0; wasPaused && !inputDiscarded && reads < MAX_READS_AT_END; reads++) {
+        for (int reads = 0; input.wasPaused() && !inputDiscarded && reads < MAX_READS_AT_END; reads++) {
             long receivedBytes = transfers.receivedBytes();
             readUnlessLingering();
             if (transfers.receivedBytes() == receivedBytes) {
                 return !inputDiscarded;
             }
         }
-        if (!inputDiscarded && wasPaused && mayHaveMissedClose()) {
+        if (!inputDiscarded && input.wasPaused() && input.mayHaveMissedClose()) {
             rejectAsMaybeGone();
         }
         return !inputDiscarded;
@@ -485,11 +439,6 @@
         rejectRequest(HttpResponseStatus.SERVICE_UNAVAILABLE);
     }
 
-    /** Whether input has been unread for so long that the client may have closed the connection unnoticed. */
-    private boolean mayHaveMissedClose() {
-        return transfers.hasUnread() && server.nowUs() - transfers.unreadSinceUs() > MAX_UNREAD_US;
-    }
-
     /** Ignores input behind the last request, which is read only so that a close by the client is seen. */
     private void discardPart(HttpObject part) {
         if (closesAfterIncompleteRequest && part instanceof LastHttpContent) {
@@ -530,27 +479,12 @@
             scheduleHandling();
         }
         updateIncompleteSince();
-        partsThisTurn = 0;
+        input.startTurn();
         if (!readAhead.isFull() && !inputDiscarded) {
             resumeInput();
         }
     }
 
-    /**
-     * Notes that all input has been read, if nothing more comes for a moment: after a pause the client's
-     * system may have more to send as soon as there is room for it.
-     */
-    private void clearUnreadIfNothingFollows() {
-        long lastReceivedUs = transfers.lastReceivedUs();
-        channel.eventLoop().schedule(() -> {
-            if (!readingPaused && transfers.lastReceivedUs() == lastReceivedUs) {
-                server.readingResumed(server.nowUs() - transfers.unreadSinceUs());
-                wasPaused = false;
-                transfers.allRead();
-            }
-        }, NOTHING_FOLLOWS_MS, TimeUnit.MILLISECONDS);
-    }
-
     private boolean canHandleMore() {
         return !inputDiscarded
                 && requests.size() < MAX_PIPELINED_REQUESTS + (incompleteRequest == null ? 0 : 1)
@@ -560,16 +494,14 @@
     /** Discards buffered input and all that is still to come. */
     private void discardFurtherInput() {
         inputDiscarded = true;
-        memory.release(undeliveredBytes);
-        undeliveredBytes = 0;
+        input.releaseUndelivered();
         while (!readAhead.isEmpty()) {
             HttpObject part = readAhead.poll().part();
             discardPart(part);
             ReferenceCountUtil.release(part);
         }
         if (channel.isOpen() && !lastResponseWritten) {
-            readingPaused = false;
-            channel.config().setAutoRead(true);
+            input.readOnDiscarding();
         }
         if (!closesAfterIncompleteRequest) {
             decoder.discardAll();
@@ -608,7 +540,7 @@
         }
         if (incoming.body().isComplete()) {
             incompleteSinceUs = 0;
-            if (incompleteRequest == null && mayHaveMissedClose()) {
+            if (incompleteRequest == null && input.mayHaveMissedClose()) {
                 incoming.body().drop();
                 rejectAsMaybeGone();
             } else if (incompleteRequest == null) {
@@ -849,8 +781,7 @@
                 request -> { });
         reader.discardIncomplete();
         readAhead.releaseAll();
-        memory.release(undeliveredBytes);
-        undeliveredBytes = 0;
+        input.releaseUndelivered();
         incompleteSinceUs = 0;
     }
 
