Soak: count a server as listed again from before the change, not after it

Cause: the soak noted that a server was listed again once both discovery servers had told it. The proxy's log shows the server as UP in list 6 and the request sent after that. Change: the time is taken before the change is told.

--- a/lab/src/main/java/passhatch/lab/soak/SoakRun.java
+++ b/lab/src/main/java/passhatch/lab/soak/SoakRun.java
@@ -280,12 +280,14 @@
                 previous.cell(), status, previous.weight(),
                 startedMs == 0 ? previous.startedMs() : startedMs);
         endpoints.put(changed.name(), changed);
+        // A proxy may send to a server as soon as one of the discovery servers lists it again.
+        long beforeNs = System.nanoTime();
         discoveries.forEach(server -> server.change(List.of(changed)));
         long atNs = System.nanoTime();
         if (status != Status.SERVING) {
             observations.add(new Removal(changed.name(), atNs, Long.MAX_VALUE));
         } else {
-            observations.relisted(changed.name(), atNs);
+            observations.relisted(changed.name(), beforeNs);
         }
         return atNs;
     }
