Count the paths and keys of open requests as memory of their clients

Cause: once a request is accepted its path, id and key were counted nowhere, 12 kB each for up to four requests of each connection.

Change: they count in the connection's account until the response is written; a request that does not fit gets 503, never forwarded, and small ones have their share. The limit of 128 fields holds for requests; responses of servers may have any number.

ClientPressureTest guards it.

--- a/lab/src/main/java/passhatch/lab/pressure/HoldingClient.java
+++ b/lab/src/main/java/passhatch/lab/pressure/HoldingClient.java
@@ -48,6 +48,21 @@
             TimeUnit.SECONDS.sleep(2);
         }
     },
+    /** Requests with long paths and keys to slow servers, as many at a time as are open on a connection. */
+    LONG_NAMES {
+        @Override
+        void hold(HttpCall call, String id) throws IOException {
+            StringBuilder requests = new StringBuilder();
+            for (int i = 0; i < OPEN_REQUESTS; i++) {
+                requests.append("POST /book/").append("p".repeat(LONG_PATH_CHARS))
+                        .append("?serviceMs=1900 HTTP/1.1\r\nHost: p\r\nContent-Length: 0\r\nX-Request-Id: ")
+                        .append(id).append('-').append(i).append("\r\nIdempotency-Key: ")
+                        .append("k".repeat(LONG_KEY_CHARS)).append("\r\n\r\n");
+            }
+            call.send(requests.toString());
+            readUntilClosed(call, Duration.ofSeconds(3));
+        }
+    },
     /** Half of a request of 64 KiB. */
     HALF_BODIES {
         @Override
@@ -101,6 +116,9 @@
 
     private static final int RECONNECT_PAUSE_MS = 500;
     private static final int FIELDS = 1_160;
+    private static final int OPEN_REQUESTS = 4;
+    private static final int LONG_PATH_CHARS = 3_900;
+    private static final int LONG_KEY_CHARS = 7_900;
     private static final int PIECES = 100;
     private static final int PIPELINED = 8;
     private static final int HALF_BODY_BYTES = 1 << 15;
--- a/lab/src/test/java/passhatch/lab/pressure/ClientPressureTest.java
+++ b/lab/src/test/java/passhatch/lab/pressure/ClientPressureTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -18,6 +19,9 @@
     /** Sound requests that must be served; a busy machine may cost a few of them their time. */
     private static final int MIN_SERVED = 95;
 
+    /** Clients that nearly fill the connections of the proxy. */
+    private static final int MANY_CLIENTS = 500;
+
     private static void assertSoundRequestsAreServed(String scenario) throws Exception {
         try (PressureRun run = new PressureRun(Path.of(".."), PressureRun.MEMORY_MB)) {
             PressureRun.Report report = run.hold(scenario, CLIENTS, false);
@@ -41,4 +45,14 @@
     void manySmallPartsLeaveOthersTheirTurn(String scenario) throws Exception {
         assertSoundRequestsAreServed(scenario);
     }
+
+    // Guards against open requests whose paths and keys fill the heap; their servers are slow for others too.
+    @Test
+    void longPathsAndKeysOfOpenRequestsDoNotFillTheHeap() throws Exception {
+        try (PressureRun run = new PressureRun(Path.of(".."), PressureRun.MEMORY_MB)) {
+            PressureRun.Report report = run.hold("LONG_NAMES", MANY_CLIENTS, false);
+            assertTrue(report.alive(), () -> report.summary() + "\n" + report.log());
+            assertEquals(0, report.count(Ending.CLOSED), report::summary);
+        }
+    }
 }
--- a/src/main/java/passhatch/proxy/ClientConnection.java
+++ b/src/main/java/passhatch/proxy/ClientConnection.java
@@ -619,6 +619,11 @@
             throw new RequestParser.InvalidRequestException(HttpResponseStatus.SERVICE_UNAVAILABLE,
                     "the memory for responses and streamed bodies is exhausted");
         }
+        if (!request.reserveHead(incoming.head())) {
+            server.proxy().refuseForMemory(proxyRequest);
+            throw new RequestParser.InvalidRequestException(HttpResponseStatus.SERVICE_UNAVAILABLE,
+                    "the memory for open requests is exhausted");
+        }
         if (server.proxy().mayHaveRunBefore(proxyRequest)) {
             throw new RequestParser.InvalidRequestException(HttpResponseStatus.CONFLICT,
                     "a request with its X-Request-Id may have run");
--- a/src/main/java/passhatch/proxy/Console.java
+++ b/src/main/java/passhatch/proxy/Console.java
@@ -76,7 +76,7 @@
                     protected void initChannel(SocketChannel channel) {
                         Connection connection = new Connection(channel);
                         channel.pipeline().addLast(connection.transfers,
-                                new HttpServerCodec(SelectedHeaders.decoderConfig()),
+                                new HttpServerCodec(SelectedHeaders.forRequests()),
                                 new HttpObjectAggregator(MAX_BODY_BYTES), connection);
                     }
                 }).bind(address).await();
--- a/src/main/java/passhatch/proxy/Discovery.java
+++ b/src/main/java/passhatch/proxy/Discovery.java
@@ -153,7 +153,7 @@
                     @Override
                     protected void initChannel(SocketChannel channel) {
                         channel.pipeline().addLast(
-                                new HttpClientCodec(SelectedHeaders.decoderConfig(), false, false),
+                                new HttpClientCodec(SelectedHeaders.forResponses(), false, false),
                                 readTimeout(RESPONSE_TIMEOUT_MS), handler);
                     }
                 });
--- a/src/main/java/passhatch/proxy/PipelinedRequest.java
+++ b/src/main/java/passhatch/proxy/PipelinedRequest.java
@@ -1,5 +1,6 @@
 package passhatch.proxy;
 
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpVersion;
 
 /** A request of a client connection until its response is written. Used by the event loop only. */
@@ -9,6 +10,8 @@
     private final HttpVersion version;
     private final RequestBody body;
     private final boolean keepAlive;
+    /** Bytes of its connection's account that its path, id and key take. */
+    private int reservedBytes;
     /** The request's id; null if the proxy does not process the request, as for {@code /ready}. */
     private String activeId;
     /** The complete response; null until there is one, or if it is streamed. */
@@ -122,8 +125,20 @@
         return responseStream;
     }
 
-    /** Releases the buffers of the request's body and of a streamed response. */
+    /** Counts what is kept of its head until it is answered; false if there is no memory for it. */
+    boolean reserveHead(HttpRequest head) {
+        int headBytes = ReadAheadBuffer.estimatedHeadBytes(head);
+        if (!connection.memory().reserve(headBytes)) {
+            return false;
+        }
+        reservedBytes += headBytes;
+        return true;
+    }
+
+    /** Releases the memory of the request's head and body and of a streamed response. */
     void releaseBuffers() {
+        connection.memory().release(reservedBytes);
+        reservedBytes = 0;
         if (body != null) {
             body.drop();
         }
--- a/src/main/java/passhatch/proxy/RequestDecoder.java
+++ b/src/main/java/passhatch/proxy/RequestDecoder.java
@@ -36,7 +36,7 @@
      * @param onFull called when it is paused and holds so much that nothing more should be read
      */
     RequestDecoder(Runnable onFull) {
-        super(SelectedHeaders.decoderConfig("X-Request-Id", "X-Tenant", "X-Deadline", "X-Retry",
+        super(SelectedHeaders.forRequests("X-Request-Id", "X-Tenant", "X-Deadline", "X-Retry",
                 "X-Cost-Hint", "Idempotency-Key").setMaxChunkSize(MAX_CHUNK_BYTES));
         this.onFull = onFull;
     }
--- a/src/main/java/passhatch/proxy/ResponseDecoder.java
+++ b/src/main/java/passhatch/proxy/ResponseDecoder.java
@@ -11,7 +11,7 @@
 
     /** Creates a decoder that emits bodies in parts as large as a read from the socket brings. */
     ResponseDecoder() {
-        super(SelectedHeaders.decoderConfig("X-Load", "X-Not-Run").setMaxChunkSize(MAX_CHUNK_BYTES));
+        super(SelectedHeaders.forResponses("X-Load", "X-Not-Run").setMaxChunkSize(MAX_CHUNK_BYTES));
     }
 
     /**
--- a/src/main/java/passhatch/proxy/SelectedHeaders.java
+++ b/src/main/java/passhatch/proxy/SelectedHeaders.java
@@ -18,15 +18,15 @@
  */
 final class SelectedHeaders extends DefaultHttpHeaders {
 
-    /** Most fields of a head, kept or not: each costs processor time. */
-    static final int MAX_FIELDS = 128;
+    /** Most fields of the head of a request, kept or not: each costs processor time. */
+    static final int MAX_REQUEST_FIELDS = 128;
 
-    /** Thrown for a head with more than {@link #MAX_FIELDS} fields. */
+    /** Thrown for a head with more fields than allowed. */
     static final class TooManyFieldsException extends IllegalArgumentException {
         private static final long serialVersionUID = 1L;
 
         TooManyFieldsException() {
-            super("more than " + MAX_FIELDS + " header fields");
+            super("too many header fields");
         }
 
         /** Not filled in, as clients can cause any number of these. */
@@ -46,35 +46,46 @@
     private static final int HASH_BUCKETS = 8;
 
     private final List<AsciiString> names;
+    private final int maxFields;
     private int receivedFields;
 
-    private SelectedHeaders(List<AsciiString> names) {
+    private SelectedHeaders(List<AsciiString> names, int maxFields) {
         super(NAME_VALIDATOR, VALUE_VALIDATOR, HASH_BUCKETS);
         this.names = names;
+        this.maxFields = maxFields;
     }
 
     /**
-     * Returns a configuration of a decoder that keeps the framing of messages, the named fields, and no
+     * Returns a configuration of a decoder of requests that keeps the framing, the named fields, and no
      * trailers.
      *
      * @param names names of the fields to keep, in any case
      */
-    static HttpDecoderConfig decoderConfig(String... names) {
-        List<AsciiString> kept = List.of(names).stream().map(AsciiString::cached).toList();
-        return new HttpDecoderConfig().setHeadersFactory(factory(kept))
-                .setTrailersFactory(factory(List.of()));
+    static HttpDecoderConfig forRequests(String... names) {
+        return decoderConfig(List.of(names), MAX_REQUEST_FIELDS);
     }
 
-    private static HttpHeadersFactory factory(List<AsciiString> names) {
+    /** The same for responses, which come from servers and may have any number of fields. */
+    static HttpDecoderConfig forResponses(String... names) {
+        return decoderConfig(List.of(names), Integer.MAX_VALUE);
+    }
+
+    private static HttpDecoderConfig decoderConfig(List<String> names, int maxFields) {
+        List<AsciiString> kept = names.stream().map(AsciiString::cached).toList();
+        return new HttpDecoderConfig().setHeadersFactory(factory(kept, maxFields))
+                .setTrailersFactory(factory(List.of(), maxFields));
+    }
+
+    private static HttpHeadersFactory factory(List<AsciiString> names, int maxFields) {
         return new HttpHeadersFactory() {
             @Override
             public HttpHeaders newHeaders() {
-                return new SelectedHeaders(names);
+                return new SelectedHeaders(names, maxFields);
             }
 
             @Override
             public HttpHeaders newEmptyHeaders() {
-                return new SelectedHeaders(names);
+                return new SelectedHeaders(names, maxFields);
             }
         };
     }
@@ -88,7 +99,7 @@
     @Override
     public HttpHeaders add(CharSequence name, Object value) {
         receivedFields++;
-        if (receivedFields > MAX_FIELDS) {
+        if (receivedFields > maxFields) {
             throw new TooManyFieldsException();
         }
         if (!contains(FRAMING, name) && !contains(names, name)) {
