Do not handle input again and again while no more requests may be open

Seen in a test of this branch: the event loop took all of a core, 485 of 500 ms, while a client had 20 requests buffered and four open.

Cause: the handling of input scheduled itself whenever parts were buffered, also while none of them could be handled; it came with the pauses of the decoder.

Change: it is scheduled if parts can be handled, or if the decoder has more and there is room for it.

Result: IdleCostTest failed before (485 ms of 500) and passes.

--- a/src/main/java/passhatch/proxy/ClientConnection.java
+++ b/src/main/java/passhatch/proxy/ClientConnection.java
@@ -391,7 +391,7 @@
         }
         updateIncompleteSince();
         accountForUndelivered();
-        if (!readAhead.isEmpty() || decoder.isPaused()) {
+        if (canHandleMore() && !readAhead.isEmpty() || decoder.isPaused() && !readAhead.isFull()) {
             scheduleHandling();
         }
         input.readOn();
--- /dev/null
+++ b/src/test/java/passhatch/proxy/IdleCostTest.java
@@ -0,0 +1,54 @@
+package passhatch.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.lang.management.ManagementFactory;
+import java.lang.management.ThreadMXBean;
+import java.nio.file.Path;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The processor time that waiting requests take. */
+@Timeout(60)
+final class IdleCostTest {
+
+    private static final int REQUESTS = 20;
+    private static final int OPEN_REQUESTS = 4;
+    private static final long OBSERVED_MS = 500;
+
+    @TempDir
+    Path folder;
+
+    // Guards against an event loop that spins while a client has more requests buffered than may be open.
+    @Test
+    void bufferedRequestsBehindOpenOnesTakeNoProcessorTime() throws Exception {
+        CountDownLatch mayRespond = new CountDownLatch(1);
+        CountDownLatch received = new CountDownLatch(OPEN_REQUESTS);
+        try (Rig rig = new Rig(folder)) {
+            rig.start(Rig.entry("s", rig.backend((connection, request) -> {
+                received.countDown();
+                mayRespond.await();
+                connection.respond("200 OK", "x");
+            }).address(), "SERVING"));
+            HttpTestConnection client = rig.client();
+            for (int i = 0; i < REQUESTS; i++) {
+                client.write(Rig.get("r" + i, ""));
+            }
+            assertTrue(received.await(HttpTestConnection.TIMEOUT_MS, TimeUnit.MILLISECONDS));
+            long threadId = (long) rig.proxy().submitToLoop(() -> Thread.currentThread().getId()).get();
+            ThreadMXBean threads = ManagementFactory.getThreadMXBean();
+            long cpuNs = threads.getThreadCpuTime(threadId);
+            Thread.sleep(OBSERVED_MS);
+            long usedMs = (threads.getThreadCpuTime(threadId) - cpuNs) / 1_000_000;
+            assertTrue(usedMs < OBSERVED_MS / 4, "processor time: " + usedMs + " ms of " + OBSERVED_MS);
+            mayRespond.countDown();
+            for (int i = 0; i < REQUESTS; i++) {
+                assertEquals(200, client.read().status());
+            }
+        }
+    }
+}
