--- a/src/main/java/passhatch/proxy/ClientServer.java
+++ b/src/main/java/passhatch/proxy/ClientServer.java
@@ -71,6 +71,7 @@
     private long longestLoopDelayUs;
     /** Number of connections that were closed in the accept queue. */
     private long closedUnread;
+    private long acceptFailures;
     /** Requests that were rejected before they reached the decision module, by status. */
     private final Map<Integer, Long> rejections = new TreeMap<>();
     /** How often reading from a client was paused and went on, and the longest of these pauses. */
@@ -108,7 +109,8 @@
      */
     ChannelFuture listen(InetSocketAddress address, boolean shared) {
         ServerBootstrap bootstrap = new ServerBootstrap().group(loop)
-                .channelFactory(() -> new SharedListener(clock, connections::freePlaces))
+                .channelFactory(() -> new SharedListener(clock, connections::freePlaces,
+                        this::acceptFailed))
                 .option(ChannelOption.SO_BACKLOG, ACCEPT_BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.SO_SNDBUF, BackendPool.SEND_BUFFER_BYTES)
@@ -140,6 +142,11 @@
                 memory.input());
     }
 
+    private void acceptFailed(IOException cause) {
+        acceptFailures++;
+        log.line(Kind.CLIENT, "a connection could not be accepted: " + cause.getMessage());
+    }
+
     /** Whether the server is listening, so that clients can connect. */
     boolean isListening() {
         return listener != null && listener.isActive();
@@ -346,6 +353,7 @@
     void addMetrics(Metrics.Sink sink) {
         connections.addMetrics(sink);
         sink.add("clients.closed_unread", closedUnread);
+        sink.add("clients.accept_failures", acceptFailures);
         rejections.forEach((status, count) -> sink.add("clients.rejected." + status, count));
         sink.add("clients.reading_pauses", readingPauses);
         sink.add("clients.reading_pause_ms_max", longestReadingPauseUs / 1_000);
--- a/src/main/java/passhatch/proxy/SharedListener.java
+++ b/src/main/java/passhatch/proxy/SharedListener.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.IntSupplier;
 
 /**
@@ -27,6 +28,7 @@
 
     private final Clock clock;
     private final IntSupplier freePlaces;
+    private final Consumer<IOException> onAcceptFailure;
     /** Since when connections may have been waiting in the accept queue; 0 if it was found empty. */
     private long queuedSinceUs;
     private boolean queueCheckScheduled;
@@ -35,10 +37,12 @@
      * Creates a socket that does not listen yet.
      *
      * @param freePlaces how many connections may be accepted now
+     * @param onAcceptFailure receives the failures of accept calls, which are tried again soon
      */
-    SharedListener(Clock clock, IntSupplier freePlaces) {
+    SharedListener(Clock clock, IntSupplier freePlaces, Consumer<IOException> onAcceptFailure) {
         this.clock = clock;
         this.freePlaces = freePlaces;
+        this.onAcceptFailure = onAcceptFailure;
     }
 
     /** The longest time that an accepted connection can have waited in the accept queue, in microseconds. */
@@ -85,13 +89,22 @@
         return most;
     }
 
+    /**
+     * Accepts a connection if there is a place for it. After a failure the queue is looked into again soon;
+     * an exception would make Netty accept nothing for a second.
+     */
     @Override
     protected int doReadMessages(List<Object> accepted) throws Exception {
         if (accepted.size() >= freePlaces.getAsInt()) {
             noteQueued();
             return 0;
         }
-        return acceptNext(accepted);
+        try {
+            return acceptNext(accepted);
+        } catch (IOException e) {
+            onAcceptFailure.accept(e);
+            return 0;
+        }
     }
 
     /** Accepts a connection unless the queue is empty; more may wait until it has been found empty. */
