Grow the buffer of a body in steps of 4 KiB while memory is scarce

Cause: while memory is scarce the buffer grew to exactly what each part needed, so a body in chunks of one byte would be copied with each of them, two gigabytes in all for 64 KiB. Change: it grows by 4 KiB at least. Result: found by reading; MemoryBudget- and BadClientsTest pass (37).

--- a/src/main/java/passhatch/proxy/RequestBody.java
+++ b/src/main/java/passhatch/proxy/RequestBody.java
@@ -16,6 +16,8 @@
     /** Bytes that are buffered. A request with a body that is no longer is sent once it is complete. */
     static final int MAX_BUFFERED_BYTES = 1 << 16;
     private static final int INITIAL_CAPACITY_BYTES = 1 << 9;
+    /** By how much the buffer grows while memory is scarce, in place of doubling. */
+    private static final int SCARCE_GROWTH_BYTES = 1 << 12;
 
     /** The attempt to which the body is written. */
     interface Receiver {
@@ -117,8 +119,9 @@
 
     private boolean reserve(int neededBytes) {
         if (neededBytes > reservedBytes) {
-            int spareBytes = memory.isScarce() ? 0 : Math.max(INITIAL_CAPACITY_BYTES, reservedBytes * 2);
-            int capacityBytes = Math.min(MAX_BUFFERED_BYTES, Math.max(neededBytes, spareBytes));
+            int grownBytes = memory.isScarce() ? reservedBytes + SCARCE_GROWTH_BYTES
+                    : Math.max(INITIAL_CAPACITY_BYTES, reservedBytes * 2);
+            int capacityBytes = Math.min(MAX_BUFFERED_BYTES, Math.max(neededBytes, grownBytes));
             if (!memory.reserve(capacityBytes - reservedBytes)) {
                 return false;
             }
