Keep an error in the rejection of one request from the one that needs its memory

Cause: the request that has held most memory is rejected within the handling of another one, which an error there would have failed too. Change: the rejection is isolated as other work for many is; if it throws, that connection is closed. Result: found by reading; MemoryBudget- and BadClientsTest pass (37).

--- a/src/main/java/passhatch/proxy/ClientConnections.java
+++ b/src/main/java/passhatch/proxy/ClientConnections.java
@@ -160,7 +160,8 @@
             return false;
         }
         gaveUpMemory++;
-        heaviest.giveUpMemory();
+        FailureIsolation.run(log, "the rejection of a request for its memory", heaviest::giveUpMemory,
+                heaviest::abort);
         return true;
     }
 
