Lab pressure: limit on descriptors, and a test of both processes of an upgrade

Cause: the tool played 1,024 descriptors only, and no test held the memory of both processes of an upgrade against the limit. Change: an option for the descriptors; ClientPressureTest adds up the memory of both processes under half bodies.

--- a/lab/src/main/java/passhatch/lab/PressureCommand.java
+++ b/lab/src/main/java/passhatch/lab/PressureCommand.java
@@ -28,6 +28,10 @@
     @Option(names = "--memory-mb", defaultValue = "192", description = "limit on memory in the configuration")
     private int memoryMb;
 
+    @Option(names = "--descriptors", defaultValue = "1024",
+            description = "limit on descriptors in the configuration (default: ${DEFAULT-VALUE})")
+    private int descriptors;
+
     @Option(names = "--upgrade", description = "start a second process meanwhile")
     private boolean upgrade;
 
@@ -37,7 +41,7 @@
     @Override
     public Integer call() throws IOException, InterruptedException {
         for (String scenario : scenarios) {
-            try (PressureRun run = new PressureRun(root, memoryMb)) {
+            try (PressureRun run = new PressureRun(root, memoryMb, descriptors)) {
                 if (PressureRun.isTimed(scenario)) {
                     System.out.println(run.time(scenario).summary());
                     continue;
--- a/lab/src/main/java/passhatch/lab/pressure/PressureRun.java
+++ b/lab/src/main/java/passhatch/lab/pressure/PressureRun.java
@@ -52,8 +52,9 @@
      *
      * @param root root directory of the project, with the service built
      * @param memoryMb limit on memory in the proxy's configuration, in MB
+     * @param descriptors limit on descriptors in the proxy's configuration
      */
-    public PressureRun(Path root, int memoryMb) throws IOException, InterruptedException {
+    public PressureRun(Path root, int memoryMb, int descriptors) throws IOException, InterruptedException {
         backends = new PacedBackends(SERVERS);
         List<Endpoint> endpoints = new ArrayList<>();
         for (int i = 0; i < SERVERS; i++) {
@@ -63,10 +64,15 @@
         discovery = new DiscoveryServer(endpoints, CallCosts.NONE, false, DiscoveryListener.NONE);
         deployment = new DeployedProxy.Deployment(root.toAbsolutePath(),
                 Files.createTempDirectory("pressure"), DeployedProxy.freeAddress(), discovery.address(),
-                memoryMb, DESCRIPTORS);
+                memoryMb, descriptors);
         startProxy();
     }
 
+    /** Starts a run with the usual limit on descriptors. */
+    PressureRun(Path root, int memoryMb) throws IOException, InterruptedException {
+        this(root, memoryMb, DESCRIPTORS);
+    }
+
     /** Starts a process of the proxy, beside an earlier one as in an upgrade, and waits until it is ready. */
     DeployedProxy startProxy() throws IOException, InterruptedException {
         DeployedProxy proxy = new DeployedProxy(deployment, proxies.size());
--- a/lab/src/test/java/passhatch/lab/pressure/ClientPressureTest.java
+++ b/lab/src/test/java/passhatch/lab/pressure/ClientPressureTest.java
@@ -19,6 +19,7 @@
     /** Sound requests that must be served; a busy machine may cost a few of them their time. */
     private static final int MIN_SERVED = 95;
 
+    private static final long KB_PER_MB = 1 << 10;
     /** Clients that nearly fill the connections of the proxy. */
     private static final int MANY_CLIENTS = 500;
 
@@ -55,4 +56,15 @@
             assertEquals(0, report.count(Ending.CLOSED), report::summary);
         }
     }
+
+    // Guards against two processes of an upgrade that together pass the limit on memory.
+    @Test
+    void bothProcessesOfAnUpgradeStayWithinTheLimit() throws Exception {
+        try (PressureRun run = new PressureRun(Path.of(".."), PressureRun.MEMORY_MB)) {
+            PressureRun.Report report = run.hold("HALF_BODIES", CLIENTS, true);
+            assertTrue(report.alive(), () -> report.summary() + "\n" + report.log());
+            assertTrue(report.peakMemoryKb() <= PressureRun.MEMORY_MB * KB_PER_MB, report::summary);
+            assertTrue(report.count(Ending.SERVED) >= MIN_SERVED, report::summary);
+        }
+    }
 }
