--- a/src/main/java/passhatch/proxy/BackendPool.java
+++ b/src/main/java/passhatch/proxy/BackendPool.java
@@ -52,13 +52,6 @@
      * streamed to its client.
      */
     private static final long MAX_BUFFERING_MS = 150;
-    /**
-     * Time in microseconds for which a backend may pause in a response of unknown length after its deadline.
-     * The protocol allows for a response to be held back for as long.
-     */
-    private static final long MAX_PAUSE_US = 2_000_000;
-    /** Bytes that such a response must bring in that time; a trickle below is not expected to complete. */
-    private static final long MIN_BYTES_PER_PAUSE = 1_000;
     /** Time without progress, in microseconds, after which a response counts as stalled at a shutdown. */
     private static final long MAX_STALL_AT_SHUTDOWN_US = 400_000;
     /**
@@ -235,7 +228,7 @@
     void closeStale() {
         idleConnections.closeOld();
         FailureIsolation.forEach(log, "the check for a stalled backend connection", openConnections,
-                connection -> connection.closeIfStalled(clock.nowUs() - MAX_STALL_US), Connection::abort);
+                connection -> connection.closeIfStalled(MAX_STALL_US), Connection::abort);
     }
 
     /** Closes all idle connections to a backend. */
@@ -356,14 +349,14 @@
             if (ended) {
                 return;
             }
-            if (sink != null && connection.streamedBytes > ResponseReader.MAX_BUFFERED_BYTES) {
+            if (sink != null && connection.progress.streamedBytes() > ResponseReader.MAX_BUFFERED_BYTES) {
                 // Too long to have been buffered: it is streamed for as long as it makes progress.
                 return;
             }
             if (sink == null && connection != null && connection.startIfKnownToBeLong()) {
                 return;
             }
-            if (sink != null && connection.isStillGiving()) {
+            if (sink != null && connection.progress.isStillGiving(connection.channel.config().isAutoRead())) {
                 scheduleTimeout(TimeUnit.MILLISECONDS.toMicros(MAX_BUFFERING_MS));
                 return;
             }
@@ -417,13 +410,13 @@
 
         @Override
         public void write(ByteBuf bytes) {
-            connection.lastProgressUs = clock.nowUs();
+            connection.progress.advanced();
             writer.writeAndFlush(bytes);
         }
 
         private void onAllWritten() {
             if (!pending.ended && !pending.fullyWritten) {
-                connection.lastProgressUs = clock.nowUs();
+                connection.progress.advanced();
                 pending.request.body().resume();
             }
         }
@@ -464,14 +457,7 @@
         /** The request that it carries; null if it is idle or its request was given up. */
         PendingRequest pending;
         private long idleSinceUs;
-        /** When bytes of a request body or of a streamed response were last transferred. */
-        long lastProgressUs;
-        /** Bytes of the streamed response that were given to its sink. */
-        private long streamedBytes;
-        /** Start of the period in which the rate of the streamed response is observed. */
-        private long periodStartUs;
-        /** Bytes that had been streamed at that time. */
-        private long periodStartBytes;
+        private final TransferProgress progress = new TransferProgress(clock);
 
         Connection(Target target) {
             this.target = target;
@@ -536,7 +522,7 @@
         @Override
         public void channelWritabilityChanged(ChannelHandlerContext ctx) {
             if (pending != null && pending.upload != null && !pending.fullyWritten && channel.isWritable()) {
-                lastProgressUs = clock.nowUs();
+                progress.advanced();
                 pending.request.body().resume();
             }
         }
@@ -545,10 +531,10 @@
          * Ends a request whose transfer has stalled: while a response is streamed or a body is written, no
          * time-out of the request may be running.
          *
-         * @param progressLimitUs the transfer has stalled if its last progress is not later than this
+         * @param maxIdleUs time without progress after which the transfer has stalled, in microseconds
          */
-        void closeIfStalled(long progressLimitUs) {
-            if (pending == null || lastProgressUs > progressLimitUs) {
+        void closeIfStalled(long maxIdleUs) {
+            if (pending == null || progress.idleUs() < maxIdleUs) {
                 return;
             }
             if (pending.sink != null) {
@@ -652,8 +638,7 @@
             }
             pending.sink = sink;
             ByteBuf buffered = reader.takeBufferedBody();
-            streamedBytes = buffered.readableBytes();
-            startPeriod();
+            progress.responseStarted(buffered.readableBytes());
             // Only a response known to be long is freed from the deadline: one of unknown length may turn
             // out short, and short responses are due by the deadline.
             if (pending.timeoutTask != null && reader.contentLength() > ResponseReader.MAX_BUFFERED_BYTES) {
@@ -667,26 +652,10 @@
          * backend has stopped sending it although it is being read.
          */
         private boolean isShortOrStalled() {
-            return Math.max(streamedBytes, reader.contentLength()) <= ResponseReader.MAX_BUFFERED_BYTES
+            long knownBytes = Math.max(progress.streamedBytes(), reader.contentLength());
+            return knownBytes <= ResponseReader.MAX_BUFFERED_BYTES
                     || channel.config().isAutoRead()
-                    && clock.nowUs() - lastProgressUs > MAX_STALL_AT_SHUTDOWN_US;
-        }
-
-        /** Whether the backend has sent enough of the streamed response lately to be expected to go on. */
-        private boolean isStillGiving() {
-            long nowUs = clock.nowUs();
-            boolean isReading = channel.config().isAutoRead();
-            boolean isPeriodOver = nowUs - periodStartUs >= MAX_PAUSE_US;
-            boolean isTrickle = isPeriodOver && streamedBytes - periodStartBytes < MIN_BYTES_PER_PAUSE;
-            if (!isReading || isPeriodOver) {
-                startPeriod();
-            }
-            return !isReading || !isTrickle && nowUs - lastProgressUs < MAX_PAUSE_US;
-        }
-
-        private void startPeriod() {
-            periodStartUs = clock.nowUs();
-            periodStartBytes = streamedBytes;
+                    && progress.idleUs() > MAX_STALL_AT_SHUTDOWN_US;
         }
 
         /**
@@ -706,8 +675,8 @@
                 return;
             }
             if (part instanceof HttpContent content && content.content().isReadable()) {
-                streamedBytes += content.content().readableBytes();
-                if (streamedBytes > ResponseReader.MAX_BODY_BYTES) {
+                progress.responseReceived(content.content().readableBytes());
+                if (progress.streamedBytes() > ResponseReader.MAX_BODY_BYTES) {
                     log.line(Kind.BACKEND, "response from " + target.id()
                             + " exceeds the size limit; closing the connection");
                     abort();
@@ -737,7 +706,7 @@
         }
 
         private void writeToSink(ByteBuf bytes) {
-            lastProgressUs = clock.nowUs();
+            progress.advanced();
             pending.sink.write(bytes);
             if (pending != null && !pending.sink.isWritable()) {
                 channel.config().setAutoRead(false);
@@ -748,7 +717,7 @@
             if (pending != streamed) {
                 return;
             }
-            lastProgressUs = clock.nowUs();
+            progress.advanced();
             channel.config().setAutoRead(true);
         }
 
