--- a/lab/src/main/java/passhatch/lab/pressure/PressureRun.java
+++ b/lab/src/main/java/passhatch/lab/pressure/PressureRun.java
@@ -25,7 +25,7 @@
 /** A deployed proxy with its servers and discovery, which a scenario puts under pressure. */
 public final class PressureRun implements Closeable {
 
-    /** The least that the deployments of this language are given, and what the pages name at most, in MB. */
+    /** The usual limits of a proxy: memory in MB, and descriptors. */
     static final int MEMORY_MB = 192;
     static final int DESCRIPTORS = 1_024;
     private static final int SERVERS = 7;
