Log the client of a repeated request, and count requests whose client has left

The requests could not be assigned to the rejections beside them.

Change: the lines on a repeat, on a request given up and on a client that left name the client's address, the age of its last input, and whether reading and decoding are paused. No decision is changed.

--- a/src/main/java/passhatch/proxy/ClientConnection.java
+++ b/src/main/java/passhatch/proxy/ClientConnection.java
@@ -25,6 +25,7 @@
 import io.netty.util.ReferenceCountUtil;
 import java.util.ArrayDeque;
 import java.util.List;
+import java.util.Objects;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -150,6 +151,11 @@
         server.logClientEvent(message + " (client " + channel.remoteAddress() + ")");
     }
 
+    /** The client's address and the state of its input, in brackets, as the end of a log line. */
+    String describeClient() {
+        return " (client " + channel.remoteAddress() + ", " + input.describe() + ")";
+    }
+
     /** Closes the connection at once, because a response cannot be given or completed. */
     void abort() {
         noteCloseReason(CloseReason.RESPONSE_FAILED);
@@ -435,7 +441,8 @@
 
     private void rejectAsMaybeGone() {
         logEvent("request refused with 503 Service Unavailable: input was unread for too long to tell whether"
-                + " its client is still connected");
+                + " its client is still connected, " + input.describe());
+        server.presenceUnknown();
         rejectRequest(HttpResponseStatus.SERVICE_UNAVAILABLE);
     }
 
@@ -779,6 +786,7 @@
 
     /** Abandons all open requests, as their client is gone or the connection fails; releases all buffers. */
     private void abandonRequests() {
+        noteAbandoned();
         List<PipelinedRequest> abandoned = List.copyOf(requests);
         requests.clear();
         incompleteRequest = null;
@@ -790,6 +798,15 @@
         incompleteSinceUs = 0;
     }
 
+    /** Counts and logs the requests whose client has left before their responses. */
+    private void noteAbandoned() {
+        List<String> unanswered = requests.stream().map(PipelinedRequest::unansweredId)
+                .filter(Objects::nonNull).toList();
+        if (!unanswered.isEmpty()) {
+            server.clientLeft(unanswered, describeClient());
+        }
+    }
+
     private void abandonRequest(PipelinedRequest request) {
         String unansweredId = request.unansweredId();
         request.releaseBuffers();
--- a/src/main/java/passhatch/proxy/ClientServer.java
+++ b/src/main/java/passhatch/proxy/ClientServer.java
@@ -74,6 +74,10 @@
     private long acceptFailures;
     /** Requests that were rejected before they reached the decision module, by status. */
     private final Map<Integer, Long> rejections = new TreeMap<>();
+    /** Requests that were rejected because their client may have left unnoticed. */
+    private long rejectedPresenceUnknown;
+    /** Requests whose client left before their responses. */
+    private long leftUnanswered;
     /** How often reading from a client was paused and went on, and the longest of these pauses. */
     private long readingPauses;
     private long longestReadingPauseUs;
@@ -343,6 +347,23 @@
         rejections.merge(status.code(), 1L, Long::sum);
     }
 
+    /** Counts a request that is rejected because its client may have left unnoticed. */
+    void presenceUnknown() {
+        rejectedPresenceUnknown++;
+    }
+
+    /**
+     * Counts requests whose client has left before their responses, and logs them.
+     *
+     * @param unansweredIds the ids of these requests, at least one
+     * @param clientDescription the client and what was known of its connection, for the log
+     */
+    void clientLeft(List<String> unansweredIds, String clientDescription) {
+        leftUnanswered += unansweredIds.size();
+        log.line(Kind.CLIENT_LEFT, "a client has left before the responses to " + unansweredIds.size()
+                + " requests, the first is " + unansweredIds.get(0) + clientDescription);
+    }
+
     /** Counts the end of a pause in reading from a client. */
     void readingResumed(long pausedUs) {
         readingPauses++;
@@ -355,6 +376,8 @@
         sink.add("clients.closed_unread", closedUnread);
         sink.add("clients.accept_failures", acceptFailures);
         rejections.forEach((status, count) -> sink.add("clients.rejected." + status, count));
+        sink.add("clients.rejected_presence_unknown", rejectedPresenceUnknown);
+        sink.add("clients.left_unanswered", leftUnanswered);
         sink.add("clients.reading_pauses", readingPauses);
         sink.add("clients.reading_pause_ms_max", longestReadingPauseUs / 1_000);
         sink.add("loop.delay_ms_max", longestLoopDelayUs / 1_000);
--- a/src/main/java/passhatch/proxy/EventLog.java
+++ b/src/main/java/passhatch/proxy/EventLog.java
@@ -22,6 +22,8 @@
     enum Kind {
         REQUEST(MAX_LINES_PER_WINDOW),
         CLIENT(MAX_LINES_PER_WINDOW),
+        /** A client left before its responses. */
+        CLIENT_LEFT(MAX_LINES_PER_WINDOW),
         EVICTION(MAX_LINES_PER_WINDOW),
         ATTEMPT(MAX_LINES_PER_WINDOW),
         BACKEND(MAX_LINES_PER_WINDOW),
--- a/src/main/java/passhatch/proxy/InputFlow.java
+++ b/src/main/java/passhatch/proxy/InputFlow.java
@@ -135,6 +135,13 @@
         return transfers.hasUnread() && clock.nowUs() - transfers.unreadSinceUs() > MAX_UNREAD_US;
     }
 
+    /** The state of the input, as part of a log line. */
+    String describe() {
+        return "input read " + (clock.nowUs() - transfers.lastReceivedUs()) / 1_000 + " ms ago, reading "
+                + (channel.config().isAutoRead() ? "on" : "paused") + ", decoding "
+                + (decoder.isPaused() ? "paused" : "on");
+    }
+
     /** Counts the memory that the decoder holds; false if there is none left for the head that it decodes. */
     boolean reserveUndelivered() {
         int addedBytes = decoder.heldBytes() - undeliveredBytes;
--- a/src/main/java/passhatch/proxy/PipelinedRequest.java
+++ b/src/main/java/passhatch/proxy/PipelinedRequest.java
@@ -69,6 +69,11 @@
         return connection.isClientPresent(this);
     }
 
+    @Override
+    public String describeClient() {
+        return connection.describeClient();
+    }
+
     @Override
     public void abort() {
         connection.abort();
--- a/src/main/java/passhatch/proxy/ProxyLoop.java
+++ b/src/main/java/passhatch/proxy/ProxyLoop.java
@@ -80,6 +80,11 @@
         /** Whether the client is known to be connected; false also if its disconnect may be undetected. */
         boolean isClientPresent();
 
+        /** The client and what is known of its connection, in brackets, as the end of a log line. */
+        default String describeClient() {
+            return "";
+        }
+
         /** Closes the client's connection, as no response can be given: its client must not wait for one. */
         default void abort() { }
     }
@@ -600,7 +605,8 @@
         if (!exchange.attempts.isEmpty()) {
             metrics.retrySent();
             log.line(Kind.ATTEMPT,
-                    "request " + id + " is sent again, to " + server + exchange.describeAttempts());
+                    "request " + id + " is sent again, to " + server + exchange.describeAttempts()
+                            + exchange.responder.describeClient());
         }
         Attempt attempt = new Attempt(exchange.attempts.size(), server, nowUs);
         exchange.attempts.add(attempt);
@@ -692,7 +698,8 @@
         metrics.requestGivenUp(reason);
         Exchange exchange = exchanges.get(id);
         if (exchange != null) {
-            log.line(Kind.REQUEST, "request " + id + " is given up: " + reason + exchange.describeAttempts());
+            log.line(Kind.REQUEST, "request " + id + " is given up: " + reason + exchange.describeAttempts()
+                    + exchange.responder.describeClient());
         }
     }
 
