Failing test: attempts begin long after their client has left

Change: lab leaving: clients of deployed proxies that send sound requests and 2,000 more behind them over 40 ms, and close or reset after 85 ms; servers hold a request for 0.45 s and refuse it. Also in an upgrade, with the proxy stopped, and behind uploads that are refused unread.

--- a/lab/src/main/java/passhatch/lab/Lab.java
+++ b/lab/src/main/java/passhatch/lab/Lab.java
@@ -17,6 +17,7 @@
             LatencyCommand.class,
             SoakCommand.class,
             PressureCommand.class,
+            LeavingCommand.class,
         })
 public final class Lab {
 
--- a/lab/src/main/java/passhatch/lab/pressure/PacedBackends.java
+++ b/lab/src/main/java/passhatch/lab/pressure/PacedBackends.java
@@ -26,7 +26,8 @@
  * <p>Query parameters: {@code length}, body bytes of the response; {@code framing}, {@code length},
  * {@code chunked} or {@code close}; {@code rate}, bytes a second that are written; {@code pauseAt} and
  * {@code pauseMs}, a pause after so many bytes; {@code readRate}, bytes a second that are read of the
- * request; {@code serviceMs}, time before the response.
+ * request; {@code serviceMs}, time before the response; {@code refuse}, answers that it was not run;
+ * {@code early}, does so without reading the body.
  */
 final class PacedBackends implements Closeable {
 
@@ -38,6 +39,9 @@
     private static final int DEFAULT_SERVICE_MS = 5;
     private static final int SMALL_RECEIVE_BUFFER_BYTES = 1 << 14;
 
+    private static final String REFUSAL =
+            "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+
     private final List<ServerSocket> listeners = new ArrayList<>();
     private final Queue<Arrival> arrivals = new ConcurrentLinkedQueue<>();
 
@@ -77,10 +81,13 @@
             while (open) {
                 Map<String, String> head = readHead(input);
                 Map<String, String> query = query(head.get(""));
-                readBody(input, head, number(query, "readRate", Integer.MAX_VALUE));
+                boolean readsBody = !query.containsKey("early");
+                if (readsBody) {
+                    readBody(input, head, number(query, "readRate", Integer.MAX_VALUE));
+                }
                 arrivals.add(new Arrival(head.get("x-request-id"), System.nanoTime()));
                 TimeUnit.MILLISECONDS.sleep(number(query, "serviceMs", DEFAULT_SERVICE_MS));
-                open = respond(socket.getOutputStream(), query);
+                open = respond(socket.getOutputStream(), query) && readsBody;
             }
         }
     }
@@ -158,6 +165,10 @@
     /** Writes the response that the query asks for; returns whether the connection stays open. */
     private static boolean respond(OutputStream output, Map<String, String> query)
             throws IOException, InterruptedException {
+        if (query.containsKey("refuse")) {
+            output.write(ascii(REFUSAL));
+            return true;
+        }
         int length = number(query, "length", 8);
         String framing = query.getOrDefault("framing", "length");
         output.write(ascii("HTTP/1.1 200 OK\r\n" + switch (framing) {
--- a/lab/src/main/java/passhatch/lab/pressure/PressureRun.java
+++ b/lab/src/main/java/passhatch/lab/pressure/PressureRun.java
@@ -33,7 +33,6 @@
     private static final Duration SOUND_PERIOD = Duration.ofSeconds(6);
     private static final Duration SOUND_TIME = Duration.ofMillis(1_500);
     private static final int SOUND_BODY_BYTES = 1_000;
-    /** Requests before those that are timed, so that these do not wait for code that is used first. */
     private static final int WARM_UP_REQUESTS = 40;
     /** Time for the clients that hold something to connect before the first sound request. */
     private static final Duration HEAD_START = Duration.ofMillis(500);
@@ -53,11 +52,13 @@
      * @param root root directory of the project, with the service built
      * @param memoryMb limit on memory in the proxy's configuration, in MB
      * @param descriptors limit on descriptors in the proxy's configuration
+     * @param servers number of servers
      */
-    public PressureRun(Path root, int memoryMb, int descriptors) throws IOException, InterruptedException {
-        backends = new PacedBackends(SERVERS);
+    PressureRun(Path root, int memoryMb, int descriptors, int servers)
+            throws IOException, InterruptedException {
+        backends = new PacedBackends(servers);
         List<Endpoint> endpoints = new ArrayList<>();
-        for (int i = 0; i < SERVERS; i++) {
+        for (int i = 0; i < servers; i++) {
             endpoints.add(Endpoint.serving("s-" + i, DeployedProxy.hostAndPort(backends.addresses().get(i)),
                     DeployedProxy.ZONE, DeployedProxy.MACHINE_TYPE, 0));
         }
@@ -68,6 +69,11 @@
         startProxy();
     }
 
+    /** Starts a run with the usual number of servers. */
+    public PressureRun(Path root, int memoryMb, int descriptors) throws IOException, InterruptedException {
+        this(root, memoryMb, descriptors, SERVERS);
+    }
+
     /** Starts a run with the usual limit on descriptors. */
     PressureRun(Path root, int memoryMb) throws IOException, InterruptedException {
         this(root, memoryMb, DESCRIPTORS);
@@ -120,9 +126,7 @@
     /** Sends requests of one kind at the same time and waits for their ends. */
     public Timing time(String scenario) throws InterruptedException {
         TimedRequest kind = TimedRequest.valueOf(scenario);
-        for (int i = 0; i < WARM_UP_REQUESTS; i++) {
-            sendSoundRequest(i);
-        }
+        warmUp();
         Queue<HttpCall.Result> results = new ConcurrentLinkedQueue<>();
         List<Thread> threads = new ArrayList<>();
         for (int i = 0; i < TimedRequest.REQUESTS; i++) {
@@ -151,6 +155,13 @@
                         .toList());
     }
 
+    /** Sends some requests one after the other, so that later ones do not wait for code that is used first. */
+    void warmUp() {
+        for (int i = 0; i < WARM_UP_REQUESTS; i++) {
+            sendSoundRequest(i);
+        }
+    }
+
     /** Notes that the client of the requests whose ids start so has closed its connection now. */
     void clientLeft(String idPrefix) {
         leftAtNs.put(idPrefix, System.nanoTime());
