Decide from dated evidence whether a client is present, wherever an attempt begins

What callers saw: requests were sent on 0.4 to 1.7 s after their client had closed the connection.

Cause: a client counted as gone only if input had been unread for 30 ms, and 'unread' was set by a read and cleared by an empty socket. Decoding what had been read could fill the buffer afterwards and pause reading; nothing was then counted as unread, and the client as present for as long as the pause lasted. The same assumption stood in three other places: a pause ended after 5 ms in which a timer had seen nothing, without a look at the socket; an upload counted as present until its end; after a stop the requests were judged before the socket was read.

Change: ClientPresence is the one definition. It knows a time of the last evidence: a read that found neither input nor a close, if the client's system cannot have held anything back, or input that arrived on a watched socket known to be empty. Evidence is good for 30 ms, so that whatever keeps the socket from being looked at needs no flag. It is asked just before each attempt is written (first, repeat, hedge, late connection) and before the end of a request is handled, and looks at the socket then, up to 1 MiB behind a pause (8 KiB while memory is scarce). Where a look needs 5 ms to be sure, the attempt waits for it; where nothing can be known, the request is ended at once, with 503 if it cannot have run. New metrics held_back.client_unknown and attempts_deferred. Netty's epoll transport was weighed: it tells of a close as long as the receive window is open, and as long as that is so a read into a bounded buffer does too, without a second library for each kind of machine.

--- a/lab/src/main/java/passhatch/lab/LeavingCommand.java
+++ b/lab/src/main/java/passhatch/lab/LeavingCommand.java
@@ -36,8 +36,9 @@
             description = "requests behind them that are given to the socket at a time")
     private int perWrite;
 
-    @Option(names = "--reset", description = "the clients reset their connections")
-    private boolean reset;
+    @Option(names = "--leaving", defaultValue = "CLOSE",
+            description = "how they leave: CLOSE, RESET, or STAY until they are answered")
+    private String leaving;
 
     @Option(names = "--event", defaultValue = "NONE",
             description = "what happens meanwhile: ${COMPLETION-CANDIDATES} (default: ${DEFAULT-VALUE})")
@@ -55,7 +56,7 @@
         for (String form : behind) {
             for (int i = 0; i < runs; i++) {
                 LeavingRun.Report report =
-                        LeavingRun.play(root, clients, requests, form, uploads, perWrite, reset, event);
+                        LeavingRun.play(root, clients, requests, form, uploads, perWrite, leaving, event);
                 late += report.late();
                 System.out.println(report.summary());
                 if (details) {
--- a/lab/src/main/java/passhatch/lab/pressure/LeavingClients.java
+++ b/lab/src/main/java/passhatch/lab/pressure/LeavingClients.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
@@ -11,8 +12,8 @@
 import java.util.stream.IntStream;
 
 /**
- * Clients that send requests and more behind them on the same connection, and leave before the responses. Each
- * uses one connection.
+ * Clients that send requests and more behind them on the same connection, and leave before the responses.
+ * Each uses one connection.
  */
 final class LeavingClients {
 
@@ -29,7 +30,7 @@
             void send(HttpCall call, String id, int requestsPerWrite) throws IOException {
                 sendMany(call, requestsPerWrite, i -> i % 2 == 0
                         ? HttpCall.get(REFUSED_PATH, id + "-" + i, TIME)
-                        : HttpCall.postHead(REFUSED_PATH, id + "-" + i, TIME, 0));
+                        : HttpCall.postHead(REFUSED_POST_PATH, id + "-" + i, TIME, 0));
             }
         },
         /** Many requests with bodies of 300 bytes. */
@@ -50,7 +51,7 @@
         TOO_LONG_BODY {
             @Override
             void send(HttpCall call, String id, int requestsPerWrite) throws IOException {
-                call.send(HttpCall.postHead(REFUSED_PATH, id, TIME, TOO_LONG_BYTES));
+                call.send(HttpCall.postHead(REFUSED_POST_PATH, id, TIME, TOO_LONG_BYTES));
                 for (int sent = 0; sent < TOO_LONG_BYTES; sent += PIECE_BYTES) {
                     call.send("x".repeat(PIECE_BYTES));
                 }
@@ -60,7 +61,7 @@
         TOO_LONG_BODY_IN_CHUNKS {
             @Override
             void send(HttpCall call, String id, int requestsPerWrite) throws IOException {
-                call.send(HttpCall.postHead(REFUSED_PATH, id, TIME, -1));
+                call.send(HttpCall.postHead(REFUSED_POST_PATH, id, TIME, -1));
                 for (int sent = 0; sent < TOO_LONG_BYTES; sent += PIECE_BYTES) {
                     call.send(Integer.toHexString(PIECE_BYTES) + "\r\n" + "x".repeat(PIECE_BYTES) + "\r\n");
                 }
@@ -77,7 +78,8 @@
         HALF_A_BODY {
             @Override
             void send(HttpCall call, String id, int requestsPerWrite) throws IOException {
-                call.send(HttpCall.postHead(REFUSED_PATH, id, TIME, 2 * PIECE_BYTES) + "x".repeat(PIECE_BYTES));
+                call.send(HttpCall.postHead(REFUSED_POST_PATH, id, TIME, 2 * PIECE_BYTES)
+                        + "x".repeat(PIECE_BYTES));
             }
         };
 
@@ -85,7 +87,7 @@
         abstract void send(HttpCall call, String id, int requestsPerWrite) throws IOException;
 
         private static String withBody(String id, int bytes) {
-            return HttpCall.postHead(REFUSED_PATH, id, TIME, bytes) + "x".repeat(bytes);
+            return HttpCall.postHead(REFUSED_POST_PATH, id, TIME, bytes) + "x".repeat(bytes);
         }
 
         private static void sendMany(HttpCall call, int requestsPerWrite, IntFunction<String> request)
@@ -103,7 +105,9 @@
         /** It closes its socket. */
         CLOSE,
         /** It resets the connection. */
-        RESET
+        RESET,
+        /** It stays until its sound requests are answered; servers serve them after 20 ms. */
+        STAY
     }
 
     /**
@@ -113,13 +117,13 @@
      * @param uploads whether the sound requests have bodies of 60 kB, and are refused before they are read
      * @param behind what follows them
      * @param requestsPerWrite how many of the requests that follow are given to the socket at a time
-     * @param leaving how each client leaves, {@link #STAY} after its first byte
+     * @param leaving how each client leaves, 85 ms after its first byte
      */
     record Plan(int clients, int requests, boolean uploads, Behind behind, int requestsPerWrite,
             Leaving leaving) { }
 
     /** Time from the first byte to the client's close. */
-    static final Duration STAY = Duration.ofMillis(85);
+    private static final Duration TIME_UNTIL_CLOSE = Duration.ofMillis(85);
     /** Time over which the requests behind the sound ones are sent at least. */
     private static final Duration SEND_TIME = Duration.ofMillis(40);
     private static final Duration TIME = DeployedProxy.DEADLINE;
@@ -130,11 +134,15 @@
     private static final int STAGGER_MS = 5;
     /** Servers hold such a request for 0.45 s, and then refuse it unprocessed. */
     private static final String REFUSED_PATH = "/read/1?serviceMs=450&refuse=1";
-    private static final String UPLOAD_PATH = "/read/1?serviceMs=450&refuse=1&early=1";
+    private static final String REFUSED_POST_PATH = "/settle/1?serviceMs=450&refuse=1";
+    private static final String UPLOAD_PATH = REFUSED_POST_PATH + "&early=1";
+    private static final String SERVED_PATH = "/read/1?serviceMs=20";
+    private static final String SERVED_POST_PATH = "/settle/1?serviceMs=20";
 
     private final Plan plan;
     private final DeployedProxy proxy;
     private final Map<String, Long> leftAtNs = new ConcurrentHashMap<>();
+    private final Map<Integer, Integer> statuses = new ConcurrentHashMap<>();
 
     LeavingClients(Plan plan, DeployedProxy proxy) {
         this.plan = plan;
@@ -152,16 +160,18 @@
 
     private void sendAndLeave(String id) throws IOException, InterruptedException {
         HttpCall call = new HttpCall(proxy.address(), 0);
+        long sentNs = System.nanoTime();
         DaemonThreads.start(() -> {
             for (int i = 0; i < plan.requests(); i++) {
-                call.send(plan.uploads()
-                        ? HttpCall.postHead(UPLOAD_PATH, id + "-sound" + i, TIME, UPLOAD_BYTES)
-                                + "x".repeat(UPLOAD_BYTES)
-                        : HttpCall.get(REFUSED_PATH, id + "-sound" + i, TIME));
+                call.send(soundRequest(id + "-sound" + i));
             }
             plan.behind().send(call, id + "-behind", plan.requestsPerWrite());
         });
-        TimeUnit.MILLISECONDS.sleep(STAY.toMillis());
+        if (plan.leaving() == Leaving.STAY) {
+            readResponses(call, sentNs);
+        } else {
+            TimeUnit.MILLISECONDS.sleep(TIME_UNTIL_CLOSE.toMillis());
+        }
         if (plan.leaving() == Leaving.RESET) {
             call.socket.setSoLinger(true, 0);
         }
@@ -169,6 +179,26 @@
         leftAtNs.put(id, System.nanoTime());
     }
 
+    private String soundRequest(String id) {
+        boolean served = plan.leaving() == Leaving.STAY;
+        return plan.uploads()
+                ? HttpCall.postHead(served ? SERVED_POST_PATH : UPLOAD_PATH, id, TIME, UPLOAD_BYTES)
+                        + "x".repeat(UPLOAD_BYTES)
+                : HttpCall.get(served ? SERVED_PATH : REFUSED_PATH, id, TIME);
+    }
+
+    private void readResponses(HttpCall call, long sentNs) {
+        for (int i = 0; i < plan.requests(); i++) {
+            HttpCall.Result result = call.read(sentNs, TIME, HttpCall.RESPONSE_SLACK);
+            statuses.merge(result.status(), 1, Integer::sum);
+        }
+    }
+
+    /** How often each status was the response to a sound request; 0 stands for none. */
+    Map<Integer, Integer> statuses() {
+        return new TreeMap<>(statuses);
+    }
+
     /** How long after its client's close an attempt arrived, in nanoseconds; negative before it. */
     long afterCloseNs(PacedBackends.Arrival arrival) {
         int end = arrival.id().indexOf('-');
--- a/lab/src/main/java/passhatch/lab/pressure/LeavingRun.java
+++ b/lab/src/main/java/passhatch/lab/pressure/LeavingRun.java
@@ -4,6 +4,7 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import passhatch.lab.pressure.LeavingClients.Behind;
 import passhatch.lab.pressure.LeavingClients.Leaving;
@@ -37,15 +38,18 @@
      * @param sound sound requests
      * @param late attempts that began over 0.1 s after the close
      * @param worstMs how long after the close the last of these began, in milliseconds; 0 if none did
+     * @param statuses statuses that clients got which stayed
      * @param metrics the metrics of the first process, one per line
      * @param log the log of the first process
      */
-    public record Report(String name, int attempts, int begun, int sound, int late, long worstMs, String metrics, String log) {
+    public record Report(String name, int attempts, int begun, int sound, int late, long worstMs,
+            Map<Integer, Integer> statuses, String metrics, String log) {
 
         /** The numbers in one line. */
         public String summary() {
             return name + ": " + late + " of " + attempts + " attempts late, the worst " + worstMs + " ms; "
-                    + begun + " of " + sound + " sound requests begun";
+                    + begun + " of " + sound + " sound requests begun"
+                    + (statuses.isEmpty() ? "" : ", answered " + statuses);
         }
     }
 
@@ -58,12 +62,12 @@
      * @param behind what is sent behind the sound requests, a name of {@link Behind}
      * @param uploads whether the sound requests have bodies of 60 kB
      * @param requestsPerWrite how many of the requests that follow are given to the socket at a time
-     * @param reset whether the clients reset their connections instead of closing them
+     * @param leaving how the clients leave, a name of {@link Leaving}
      */
     public static Report play(Path root, int clients, int requests, String behind, boolean uploads,
-            int requestsPerWrite, boolean reset, Event event) throws IOException, InterruptedException {
+            int requestsPerWrite, String leaving, Event event) throws IOException, InterruptedException {
         Plan plan = new Plan(clients, requests, uploads, Behind.valueOf(behind), requestsPerWrite,
-                reset ? Leaving.RESET : Leaving.CLOSE);
+                Leaving.valueOf(leaving));
         return play(root, plan, event);
     }
 
@@ -106,7 +110,7 @@
                 .map(PacedBackends.Arrival::id).filter(id -> id.contains("-sound"))
                 .distinct().count();
         return new Report(plan + " " + event, attempts.size(), (int) begun, plan.clients() * plan.requests(),
-                lateNs.size(), TimeUnit.NANOSECONDS.toMillis(worstNs),
+                lateNs.size(), TimeUnit.NANOSECONDS.toMillis(worstNs), clients.statuses(),
                 run.proxy().metrics(), run.proxy().log());
     }
 }
--- a/lab/src/main/java/passhatch/lab/pressure/PressureRun.java
+++ b/lab/src/main/java/passhatch/lab/pressure/PressureRun.java
@@ -155,7 +155,7 @@
                         .toList());
     }
 
-    /** Sends some requests one after the other, so that later ones do not wait for code that is used first. */
+    /** Sends some requests, so that later ones do not wait for code that is used first. */
     void warmUp() {
         for (int i = 0; i < WARM_UP_REQUESTS; i++) {
             sendSoundRequest(i);
--- a/src/main/java/passhatch/proxy/BudgetedReceiveAllocator.java
+++ b/src/main/java/passhatch/proxy/BudgetedReceiveAllocator.java
@@ -23,6 +23,12 @@
         return lastReads.lastBytesRead() < lastReads.attemptedBytesRead();
     }
 
+    /** Whether the last read found the socket empty and open. */
+    @SuppressWarnings("deprecation")
+    static boolean hasFoundNothing(Channel channel) {
+        return channel.unsafe().recvBufAllocHandle().lastBytesRead() == 0;
+    }
+
     /** Creates a handle of the type that Netty's interface still names, although it is deprecated. */
     @Override
     @SuppressWarnings("deprecation")
--- a/src/main/java/passhatch/proxy/ClientConnection.java
+++ b/src/main/java/passhatch/proxy/ClientConnection.java
@@ -45,8 +45,6 @@
     private static final long REQUEST_REMAINDER_TIMEOUT_MS = 2_000;
     /** A client that accepts no bytes of a response for this long is considered gone. */
     private static final int WRITE_TIMEOUT_S = 10;
-    /** Reads that look for a close behind the end of a request. */
-    private static final int MAX_READS_AT_END = 4;
     /**
      * How long after its client's time a request gets its final response if its last byte is unread, so that
      * nobody knows when it was written. The rules allow half a second.
@@ -81,6 +79,7 @@
     private final MinimumReceiveRate receiveRate = new MinimumReceiveRate();
     /** The request that was accepted before its body was complete, while the body is incomplete; or null. */
     private PipelinedRequest incompleteRequest;
+    private final ClientPresence presence;
     private final TransferMonitor transfers;
     private final InputFlow input;
     private final RequestDecoder decoder;
@@ -91,6 +90,8 @@
     private long lastResponseAtUs;
     /** Whether a task of the event loop is scheduled that handles buffered input. */
     private boolean handlingScheduled;
+    /** Whether the end of a request waits for a look at its client's presence. */
+    private boolean presenceCheckScheduled;
     private final RequestEndEstimate requestEnd = new RequestEndEstimate();
     /** Whether further input is discarded: the connection closes after the responses to open requests. */
     private boolean inputDiscarded;
@@ -115,13 +116,15 @@
     ClientConnection(ClientServer server, Channel channel, Clock clock, long queueTimeUs) {
         this.server = server;
         this.channel = channel;
+        this.connectedAtUs = clock.nowUs() - queueTimeUs;
+        this.presence =
+                new ClientPresence(clock, new ClientSocket(channel, this::hasRoomToLook), connectedAtUs);
         this.transfers = new TransferMonitor(clock, queueTimeUs, server::maxUnreadUs);
         this.memory = new MemoryAccount(server.memory().input(), clock, server::reclaimMemory);
         this.reader = new RequestReader(memory);
         this.readAhead = new ReadAheadBuffer(memory);
         this.input = new InputFlow(channel, clock, transfers, readAhead, memory, server::readingResumed);
         this.decoder = input.decoder();
-        this.connectedAtUs = clock.nowUs() - queueTimeUs;
     }
 
     /** Limits the bytes of responses that are on their way to clients. */
@@ -153,7 +156,15 @@
 
     /** The client's address and the state of its input, in brackets, as the end of a log line. */
     String describeClient() {
-        return " (client " + channel.remoteAddress() + ", " + input.describe() + ")";
+        return " (client " + channel.remoteAddress() + ", " + describeInput() + ")";
+    }
+
+    private boolean hasRoomToLook() {
+        return !lastResponseWritten && input.hasRoomToLook();
+    }
+
+    private String describeInput() {
+        return "known present " + presence.ageUs() / 1_000 + " ms ago, " + input.describe();
     }
 
     /** Closes the connection at once, because a response cannot be given or completed. */
@@ -163,19 +174,16 @@
         channel.close();
     }
 
-    /**
-     * Whether the client of a request is known to be connected. A client that is still sending the body
-     * counts as present: the body is forwarded before all of it has been read, and its end only if the client
-     * has not left, see {@link #isPresentAtEnd}.
-     */
-    boolean isClientPresent(PipelinedRequest request) {
-        return request == incompleteRequest || !input.mayHaveMissedClose();
+    /** What is known of the client's presence; may find and handle its close. */
+    ClientPresence.Status clientStatus() {
+        return presence.status();
     }
 
     /** The handlers of the channel's pipeline, from the socket up to and including this one. */
     ChannelHandler[] handlers() {
-        return new ChannelHandler[] {new WriteTimeoutHandler(WRITE_TIMEOUT_S), transfers, decoder,
-            new HttpResponseEncoder(), this};
+        return new ChannelHandler[] {new WriteTimeoutHandler(WRITE_TIMEOUT_S), transfers,
+            new PresenceMonitor(presence, server::readDelayBoundUs), decoder, new HttpResponseEncoder(),
+            this};
     }
 
     /** Whether no request is open or received in part and no response is unsent, so that it can be closed. */
@@ -397,7 +405,8 @@
         }
         updateIncompleteSince();
         accountForUndelivered();
-        if (canHandleMore() && !readAhead.isEmpty() || decoder.isPaused() && !readAhead.isFull()) {
+        if (canHandleMore() && !readAhead.isEmpty() && !presenceCheckScheduled
+                || decoder.isPaused() && !readAhead.isFull()) {
             scheduleHandling();
         }
         input.readOn();
@@ -420,28 +429,9 @@
         }
     }
 
-    /**
-     * Whether the client of a request that is forwarded while it is received is still there before its end is
-     * forwarded. As reading was paused meanwhile, a close behind the end may be unread. If that cannot be
-     * told, the request is rejected: no server has all of it.
-     */
-    private boolean isPresentAtEnd() {
-        for (int reads = 0; input.wasPaused() && !inputDiscarded && reads < MAX_READS_AT_END; reads++) {
-            long receivedBytes = transfers.receivedBytes();
-            readUnlessLingering();
-            if (transfers.receivedBytes() == receivedBytes) {
-                return !inputDiscarded;
-            }
-        }
-        if (!inputDiscarded && input.wasPaused() && input.mayHaveMissedClose()) {
-            rejectAsMaybeGone();
-        }
-        return !inputDiscarded;
-    }
-
     private void rejectAsMaybeGone() {
         logEvent("request refused with 503 Service Unavailable: input was unread for too long to tell whether"
-                + " its client is still connected, " + input.describe());
+                + " its client is still connected, " + describeInput());
         server.presenceUnknown();
         rejectRequest(HttpResponseStatus.SERVICE_UNAVAILABLE);
     }
@@ -473,7 +463,7 @@
      */
     private void handleBufferedParts() {
         int completedRequests = 0;
-        while (completedRequests < MAX_PIPELINED_REQUESTS && canHandleMore() && !readAhead.isEmpty()) {
+        while (completedRequests < MAX_PIPELINED_REQUESTS && mayHandleNext()) {
             ReadAheadBuffer.ReceivedPart received = readAhead.poll();
             try {
                 completedRequests += received.part() instanceof LastHttpContent ? 1 : 0;
@@ -482,7 +472,7 @@
                 ReferenceCountUtil.release(received.part());
             }
         }
-        if (canHandleMore() && !readAhead.isEmpty()) {
+        if (canHandleMore() && !readAhead.isEmpty() && !presenceCheckScheduled) {
             scheduleHandling();
         }
         updateIncompleteSince();
@@ -492,6 +482,36 @@
         }
     }
 
+    /**
+     * Whether the next buffered part is to be handled now. The end of a request is handled only while its
+     * client is known to be connected: from then on it may be sent to a server.
+     */
+    private boolean mayHandleNext() {
+        if (!canHandleMore() || readAhead.isEmpty()) {
+            return false;
+        }
+        if (!readAhead.isEndNext()) {
+            return true;
+        }
+        ClientPresence.Status status = presence.status();
+        if (status == ClientPresence.Status.UNKNOWN) {
+            rejectAsMaybeGone();
+        } else if (status == ClientPresence.Status.UNDECIDED) {
+            schedulePresenceCheck();
+        }
+        return status == ClientPresence.Status.PRESENT && canHandleMore();
+    }
+
+    private void schedulePresenceCheck() {
+        if (!presenceCheckScheduled) {
+            presenceCheckScheduled = true;
+            channel.eventLoop().schedule(() -> {
+                presenceCheckScheduled = false;
+                scheduleHandling();
+            }, ClientPresence.SETTLE_TIME_US, TimeUnit.MICROSECONDS);
+        }
+    }
+
     private boolean canHandleMore() {
         return !inputDiscarded
                 && requests.size() < MAX_PIPELINED_REQUESTS + (incompleteRequest == null ? 0 : 1)
@@ -522,9 +542,6 @@
 
     /** Handles the next part of a request; accepts the request if it is complete or too long to buffer. */
     private void handlePart(HttpObject part, long receivedAtUs) {
-        if (part instanceof LastHttpContent && incompleteRequest != null && !isPresentAtEnd()) {
-            return;
-        }
         RequestReader.IncomingRequest incoming;
         try {
             incoming = reader.read(part);
@@ -547,10 +564,7 @@
         }
         if (incoming.body().isComplete()) {
             incompleteSinceUs = 0;
-            if (incompleteRequest == null && input.mayHaveMissedClose()) {
-                incoming.body().drop();
-                rejectAsMaybeGone();
-            } else if (incompleteRequest == null) {
+            if (incompleteRequest == null) {
                 acceptRequest(incoming, receivedAtUs);
             } else {
                 PipelinedRequest completed = incompleteRequest;
@@ -833,6 +847,7 @@
 
     /** Abandons all open requests, answers with 502 if no response has begun, and closes the connection. */
     private void failConnection() {
+        presence.noteLeft();
         boolean canSendResponse = requests.isEmpty() ? !readAhead.isEmpty()
                 : !requests.peek().hasStartedStream();
         inputDiscarded = true;
@@ -846,6 +861,7 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
+        presence.noteLeft();
         inputDiscarded = true;
         abandonRequests();
         server.connectionClosed(this);
--- a/src/main/java/passhatch/proxy/ClientServer.java
+++ b/src/main/java/passhatch/proxy/ClientServer.java
@@ -230,6 +230,14 @@
         return Math.max(lastLoopDelayUs, currentLoopDelayUs());
     }
 
+    /**
+     * How long input that is read now can have been waiting unread at most, provided that the event loop was
+     * watching for it: {@link #maxUnreadUs} and what the delay check does not notice.
+     */
+    long readDelayBoundUs() {
+        return maxUnreadUs() + LOOP_CHECK_INTERVAL_US + TIMER_TOLERANCE_US;
+    }
+
     // ---- connections
 
     /** Registers a new connection, and makes a place for the next one. */
--- a/src/main/java/passhatch/proxy/Exchange.java
+++ b/src/main/java/passhatch/proxy/Exchange.java
@@ -52,6 +52,17 @@
         return attempts.stream().anyMatch(a -> a.outcome == null || !a.outcome.provesNotRun);
     }
 
+    /** Whether any other attempt than this may have run, as far as the outcomes prove. */
+    boolean othersMayHaveRun(Attempt attempt) {
+        return attempts.stream().anyMatch(a -> a != attempt
+                && (a.outcome == null || !a.outcome.provesNotRun));
+    }
+
+    /** Whether any other attempt than this has not ended. */
+    boolean hasOthersInFlight(Attempt attempt) {
+        return attempts.stream().anyMatch(a -> a != attempt && a.outcome == null);
+    }
+
     /** Whether a server has got all of it, and has not proved that it did not run it. */
     boolean hasReachedServer() {
         return attempts.stream().anyMatch(a -> a.written && (a.outcome == null || !a.outcome.provesNotRun));
@@ -69,6 +80,10 @@
         Outcome outcome;
         /** Whether its last byte has been written. */
         boolean written;
+        /** Whether it was not written because nobody could tell whether its client is connected. */
+        boolean deferred;
+        /** Whether it is not wanted any more. */
+        boolean cancelled;
 
         Attempt(int number, String server, long sentAtUs) {
             this.number = number;
@@ -76,6 +91,14 @@
             this.sentAtUs = sentAtUs;
         }
 
+        /** Ends it as cancelled, at the latest when it would be given to the pool again. */
+        void cancel() {
+            cancelled = true;
+            if (handle != null) {
+                handle.cancel();
+            }
+        }
+
         /** Notes its outcome. There is nothing to control any more. */
         void end(Outcome finalOutcome) {
             outcome = finalOutcome;
--- a/src/main/java/passhatch/proxy/InputFlow.java
+++ b/src/main/java/passhatch/proxy/InputFlow.java
@@ -16,11 +16,12 @@
      * more than a thousand.
      */
     private static final int MAX_PARTS_PER_TURN = 64;
-    /**
-     * A close by the client is not seen while input before it is unread. Once input has been unread for this
-     * long, the requests of the connection are not sent to backends: none may arrive 0.1 s after the close.
-     */
-    private static final long MAX_UNREAD_US = 30_000;
+    /** Undecoded bytes with which reading is paused. */
+    private static final int MAX_UNDECODED_BYTES = 1 << 16;
+    /** Undecoded bytes up to which more is read to find a close behind them. */
+    private static final int MAX_LOOK_BYTES = 1 << 20;
+    /** The same while memory is scarce. */
+    private static final int MAX_SCARCE_LOOK_BYTES = 1 << 13;
     /** Time without input after which a client whose input was paused is taken to have no more of it. */
     private static final long NOTHING_FOLLOWS_MS = 5;
 
@@ -30,7 +31,7 @@
     private final ReadAheadBuffer readAhead;
     private final MemoryAccount memory;
     private final LongConsumer onPauseEnded;
-    private final RequestDecoder decoder = new RequestDecoder(this::pauseReading);
+    private final RequestDecoder decoder = new RequestDecoder(this::undecodedAdded);
     /** Bytes of the account that the decoder's undelivered input takes. */
     private int undeliveredBytes;
     /** Parts that were decoded since the connection last had its turn. */
@@ -72,6 +73,19 @@
         }
     }
 
+    /** Called when input has been read that is not decoded yet. */
+    private void undecodedAdded() {
+        if (!readingPaused && decoder.undecodedBytes() > MAX_UNDECODED_BYTES) {
+            pauseReading();
+        }
+    }
+
+    /** Whether input may be read to find a close behind it, also while reading is paused. */
+    boolean hasRoomToLook() {
+        return !readingPaused || decoder.isPaused() && decoder.undecodedBytes()
+                < (memory.isScarce() ? MAX_SCARCE_LOOK_BYTES : MAX_LOOK_BYTES);
+    }
+
     /** Called when buffered parts have been handled, so that more may be decoded. */
     void startTurn() {
         partsThisTurn = 0;
@@ -81,6 +95,7 @@
     private void pauseReading() {
         readingPaused = true;
         wasPaused = true;
+        transfers.readingPaused();
         channel.config().setAutoRead(false);
     }
 
@@ -125,16 +140,6 @@
         }, NOTHING_FOLLOWS_MS, TimeUnit.MILLISECONDS);
     }
 
-    /** Whether reading was paused, and since then not all input has been read for certain. */
-    boolean wasPaused() {
-        return wasPaused;
-    }
-
-    /** Whether input has been unread for so long that the client may have closed the connection unnoticed. */
-    boolean mayHaveMissedClose() {
-        return transfers.hasUnread() && clock.nowUs() - transfers.unreadSinceUs() > MAX_UNREAD_US;
-    }
-
     /** The state of the input, as part of a log line. */
     String describe() {
         return "input read " + (clock.nowUs() - transfers.lastReceivedUs()) / 1_000 + " ms ago, reading "
--- a/src/main/java/passhatch/proxy/PipelinedRequest.java
+++ b/src/main/java/passhatch/proxy/PipelinedRequest.java
@@ -65,8 +65,8 @@
     }
 
     @Override
-    public boolean isClientPresent() {
-        return connection.isClientPresent(this);
+    public ClientPresence.Status clientStatus() {
+        return connection.clientStatus();
     }
 
     @Override
--- a/src/main/java/passhatch/proxy/ProxyLoop.java
+++ b/src/main/java/passhatch/proxy/ProxyLoop.java
@@ -77,8 +77,8 @@
          */
         ResponseSink startStream(long contentLength, Runnable resumeReading);
 
-        /** Whether the client is known to be connected; false also if its disconnect may be undetected. */
-        boolean isClientPresent();
+        /** What is known of the client's presence; the request may end within this call. */
+        ClientPresence.Status clientStatus();
 
         /** The client and what is known of its connection, in brackets, as the end of a log line. */
         default String describeClient() {
@@ -430,7 +430,7 @@
 
     /** Ends the attempts of a request of which none can receive the complete body, whatever settings say. */
     private void cancelAttempts(Exchange exchange) {
-        exchange.attempts.stream().filter(a -> a.handle != null).forEach(a -> a.handle.cancel());
+        exchange.attempts.forEach(Attempt::cancel);
     }
 
     /** Has the module forget a request that needs no response any more. */
@@ -617,26 +617,30 @@
             loop.execute(() -> onAttemptEnd(exchange, attempt, Result.withoutBody(Outcome.NOT_SENT)));
             return;
         }
-        long attemptDeadlineUs = nowUs + attemptTimeoutUs;
-        // The connection may be established late. Just before the attempt is written, the guard checks again
-        // that the request is open, that its time is not up, and that its backend has not been drained,
-        // removed or disabled in the meantime.
+        sendAttempt(exchange, attempt, backend, nowUs + attemptTimeoutUs);
+    }
+
+    /**
+     * Gives an attempt to the pool. Its connection may be established late, so {@link #mayWrite} is asked
+     * just before it is written. If nobody can tell then whether the client is still connected, the attempt
+     * is given to the pool again in a moment.
+     */
+    private void sendAttempt(Exchange exchange, Attempt attempt, Backend backend, long attemptDeadlineUs) {
+        if (attempt.cancelled) {
+            onAttemptEnd(exchange, attempt, Result.withoutBody(Outcome.CANCELLED));
+            return;
+        }
+        attempt.deferred = false;
+        long timeoutUs = Math.max(0, attemptDeadlineUs - clock.nowUs());
         attempt.handle = sendTo(backend,
                 new OutgoingRequest(
                         () -> buildCheckedMessage(exchange, attempt, backend, attemptDeadlineUs),
-                        exchange.request.body(),
-                        () -> guard.mayWrite(new WriteConditions(
-                                exchange.responded || exchange.streamedAttempt != null,
-                                exchange.responder.isClientPresent(), backend.available,
-                                exchange.request.body().canBeSent(),
-                                balancer.maySend(clock.nowUs(), id, attempt.number)))
-                                && claimId(exchange),
+                        exchange.request.body(), () -> mayWrite(exchange, attempt, backend),
                         () -> {
                             attempt.written = true;
                             metrics.attemptSent();
                         },
-                        exchange.incomplete ? BackendPool.NO_TIMEOUT : attemptTimeoutUs,
-                        Outcome.TIMEOUT),
+                        exchange.incomplete ? BackendPool.NO_TIMEOUT : timeoutUs, Outcome.TIMEOUT),
                 new BackendPool.Listener() {
                     @Override
                     public ResponseSink openSink(long contentLength, Runnable resumeReading) {
@@ -645,17 +649,58 @@
 
                     @Override
                     public void done(Result result) {
-                        onAttemptEnd(exchange, attempt, result);
+                        if (attempt.deferred && result.outcome() == Outcome.NOT_SENT) {
+                            loop.schedule(FailureIsolation.isolated(log, "a deferred attempt",
+                                    () -> sendAttempt(exchange, attempt, backend, attemptDeadlineUs),
+                                    () -> failAfterError(exchange)),
+                                    ClientPresence.SETTLE_TIME_US, TimeUnit.MICROSECONDS);
+                        } else {
+                            onAttemptEnd(exchange, attempt, result);
+                        }
                     }
                 });
     }
 
+    /**
+     * Whether an attempt may be written now. The client is asked for first, as a close that is found then
+     * ends the request.
+     */
+    private boolean mayWrite(Exchange exchange, Attempt attempt, Backend backend) {
+        ClientPresence.Status client = exchange.responder.clientStatus();
+        boolean open = !exchange.responded && exchange.streamedAttempt == null;
+        if (open && client == ClientPresence.Status.UNDECIDED) {
+            attempt.deferred = true;
+            guard.recordDeferred();
+            return false;
+        }
+        if (open && client == ClientPresence.Status.UNKNOWN) {
+            guard.recordClientUnknown();
+            endForUnknownClient(exchange, attempt);
+            return false;
+        }
+        return guard.mayWrite(new WriteConditions(!open, client == ClientPresence.Status.PRESENT,
+                backend.available, exchange.request.body().canBeSent(),
+                balancer.maySend(clock.nowUs(), exchange.request.id(), attempt.number)))
+                && claimId(exchange);
+    }
+
+    /** Ends a request that cannot be sent because its client may have left, unless it is out elsewhere. */
+    private void endForUnknownClient(Exchange exchange, Attempt unsent) {
+        if (exchange.hasOthersInFlight(unsent)) {
+            return;
+        }
+        log.line(Kind.REQUEST, "request " + exchange.request.id()
+                + " is ended: nobody can tell whether its client is still connected"
+                + exchange.describeAttempts() + exchange.responder.describeClient());
+        respond(exchange, exchange.othersMayHaveRun(unsent) ? ProxyResponse.failed()
+                : ProxyResponse.refused(0));
+    }
+
     /** Builds the message of an attempt that is about to be written, after the guard's check of the rules. */
     private HttpRequest buildCheckedMessage(Exchange exchange, Attempt attempt, Backend backend,
             long attemptDeadlineUs) {
         long nowUs = clock.nowUs();
-        boolean othersMayHaveRun = exchange.attempts.stream().filter(other -> other != attempt)
-                .anyMatch(other -> other.outcome == null || !other.outcome.provesNotRun);
+        boolean othersMayHaveRun = exchange.othersMayHaveRun(attempt);
         guard.checkWritten(new SendGuard.Attempt(exchange.request.id(), attempt.server,
                 backend.unavailableForUs(nowUs), classes.get(exchange.request.requestClass()).effect(),
                 othersMayHaveRun, attempt.number + 1, attemptDeadlineUs - nowUs,
@@ -724,9 +769,8 @@
     @Override
     public void cancel(String id, int attemptNumber) {
         Exchange exchange = exchanges.get(id);
-        if (exchange != null && attemptNumber < exchange.attempts.size()
-                && exchange.attempts.get(attemptNumber).handle != null) {
-            exchange.attempts.get(attemptNumber).handle.cancel();
+        if (exchange != null && attemptNumber < exchange.attempts.size()) {
+            exchange.attempts.get(attemptNumber).cancel();
         }
     }
 
--- a/src/main/java/passhatch/proxy/ReadAheadBuffer.java
+++ b/src/main/java/passhatch/proxy/ReadAheadBuffer.java
@@ -95,6 +95,11 @@
         return 0;
     }
 
+    /** Whether the next part is the end of a request. */
+    boolean isEndNext() {
+        return !parts.isEmpty() && parts.peek().part() instanceof LastHttpContent;
+    }
+
     boolean isEmpty() {
         return parts.isEmpty();
     }
--- a/src/main/java/passhatch/proxy/RequestDecoder.java
+++ b/src/main/java/passhatch/proxy/RequestDecoder.java
@@ -14,8 +14,6 @@
  */
 final class RequestDecoder extends HttpRequestDecoder {
 
-    /** Bytes that are taken while decoding is paused, so that a close by the client behind them is seen. */
-    private static final int MAX_UNDECODED_BYTES = 1 << 16;
     /** Maximum size of a piece of a body that is passed on. */
     private static final int MAX_CHUNK_BYTES = 1 << 15;
 
@@ -28,17 +26,17 @@
     private boolean paused;
     private boolean discarding;
     private ChannelHandlerContext context;
-    private final Runnable onFull;
+    private final Runnable onUndecoded;
 
     /**
      * Creates a decoder that passes bodies on in pieces as large as they are read, up to its maximum.
      *
-     * @param onFull called when it is paused and holds so much that nothing more should be read
+     * @param onUndecoded called when bytes were received that are not decoded, as it is paused
      */
-    RequestDecoder(Runnable onFull) {
+    RequestDecoder(Runnable onUndecoded) {
         super(SelectedHeaders.forRequests("X-Request-Id", "X-Tenant", "X-Deadline", "X-Retry",
                 "X-Cost-Hint", "Idempotency-Key").setMaxChunkSize(MAX_CHUNK_BYTES));
-        this.onFull = onFull;
+        this.onUndecoded = onUndecoded;
     }
 
     /**
@@ -64,6 +62,11 @@
         return actualReadableBytes() + headBytes;
     }
 
+    /** Number of bytes that have not been decoded. */
+    int undecodedBytes() {
+        return actualReadableBytes();
+    }
+
     /** Whether the decoder holds bytes of a request whose head the next handler has not received yet. */
     boolean hasUndeliveredBytes() {
         return actualReadableBytes() > 0 || startedHeads > deliveredHeads;
@@ -87,8 +90,8 @@
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) throws Exception {
         super.channelRead(ctx, message);
-        if (paused && actualReadableBytes() > MAX_UNDECODED_BYTES) {
-            onFull.run();
+        if (paused) {
+            onUndecoded.run();
         }
     }
 
@@ -97,7 +100,7 @@
         discarding = true;
     }
 
-    /** Decodes nothing more until {@link #resume}; the caller makes sure that nothing more is read. */
+    /** Decodes nothing more until {@link #resume}; the caller limits what is read meanwhile. */
     void pause() {
         paused = true;
     }
--- a/src/main/java/passhatch/proxy/SendGuard.java
+++ b/src/main/java/passhatch/proxy/SendGuard.java
@@ -18,8 +18,10 @@
     enum HeldBack {
         /** The request has its response, or a streamed one has begun. */
         ANSWERED,
-        /** The client has disconnected, or may have. */
+        /** The client has disconnected. */
         CLIENT_GONE,
+        /** Nobody can tell whether the client has disconnected. */
+        CLIENT_UNKNOWN,
         /** The backend is draining or no longer listed. */
         BACKEND_GONE,
         /** A part of the body was sent in another attempt and is no longer buffered. */
@@ -82,6 +84,8 @@
     private final long drainGraceUs;
     private final int maxAttempts;
     private final Map<HeldBack, Long> heldBack = new EnumMap<>(HeldBack.class);
+    /** Attempts that were tried again a moment later, as nobody could tell whether their client was there. */
+    private long deferred;
     private final Map<Violation, Long> violations = new EnumMap<>(Violation.class);
 
     /**
@@ -107,6 +111,16 @@
         return reason == null;
     }
 
+    /** Counts an attempt that is not written because its client may have disconnected unnoticed. */
+    void recordClientUnknown() {
+        heldBack.merge(HeldBack.CLIENT_UNKNOWN, 1L, Long::sum);
+    }
+
+    /** Counts an attempt that waits a moment, until somebody can tell whether its client is there. */
+    void recordDeferred() {
+        deferred++;
+    }
+
     /** Counts an attempt that is not written because another process has written its request. */
     void recordIdClaimed() {
         heldBack.merge(HeldBack.ID_CLAIMED, 1L, Long::sum);
@@ -163,6 +177,7 @@
         for (HeldBack reason : HeldBack.values()) {
             lines.add("held_back." + Metrics.lowerCase(reason), heldBack.getOrDefault(reason, 0L));
         }
+        lines.add("attempts_deferred", deferred);
         for (Violation rule : Violation.values()) {
             lines.add("violations." + Metrics.lowerCase(rule), violationCount(rule));
         }
--- a/src/main/java/passhatch/proxy/TransferMonitor.java
+++ b/src/main/java/passhatch/proxy/TransferMonitor.java
@@ -1,6 +1,5 @@
 package passhatch.proxy;
 
-import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelPromise;
@@ -15,7 +14,6 @@
     private final Clock clock;
     private final LongSupplier readDelayUs;
     private long lastReceivedUs;
-    private long receivedBytes;
     /** How long the first input may have waited for the connection to be accepted. */
     private long queueTimeUs;
     /** When the first input was read since all of it had been read; meaningful if {@link #hasUnread}. */
@@ -42,7 +40,6 @@
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
         lastReceivedUs = clock.nowUs();
-        receivedBytes += ((ByteBuf) message).readableBytes();
         if (!hasUnread) {
             hasUnread = true;
             unreadSinceUs = lastReceivedUs - Math.max(queueTimeUs, readDelayUs.getAsLong());
@@ -51,6 +48,14 @@
         ctx.fireChannelRead(message);
     }
 
+    /** Notes that reading is paused, so that there may be unread input from now on. */
+    void readingPaused() {
+        if (!hasUnread) {
+            hasUnread = true;
+            unreadSinceUs = clock.nowUs();
+        }
+    }
+
     @Override
     public void write(ChannelHandlerContext ctx, Object message, ChannelPromise promise) {
         if (pendingWrites == 0) {
@@ -81,11 +86,6 @@
         return unreadSinceUs;
     }
 
-    /** Number of bytes received so far. */
-    long receivedBytes() {
-        return receivedBytes;
-    }
-
     /** When bytes were last received, or when the connection was accepted if none were. */
     long lastReceivedUs() {
         return lastReceivedUs;
--- a/src/test/java/passhatch/proxy/OneFailureManyOwedTest.java
+++ b/src/test/java/passhatch/proxy/OneFailureManyOwedTest.java
@@ -275,8 +275,8 @@
             }
 
             @Override
-            public boolean isClientPresent() {
-                return true;
+            public ClientPresence.Status clientStatus() {
+                return ClientPresence.Status.PRESENT;
             }
         };
     }
--- a/src/test/java/passhatch/proxy/SendGuardTest.java
+++ b/src/test/java/passhatch/proxy/SendGuardTest.java
@@ -38,6 +38,7 @@
         assertFalse(guard.mayWrite(new WriteConditions(false, true, false, true, true)));
         assertFalse(guard.mayWrite(new WriteConditions(false, true, true, false, true)));
         assertFalse(guard.mayWrite(new WriteConditions(false, true, true, true, false)));
+        guard.recordClientUnknown();
         guard.recordIdClaimed();
         for (SendGuard.HeldBack reason : SendGuard.HeldBack.values()) {
             assertEquals(1, metrics().get("held_back." + Metrics.lowerCase(reason)));
