Count ids that are forgotten while they may still come again; claims in a class of their own

Cause: the table of ids has 8,192 places. An operator could not see whether a proxy carries more unsafe requests than that within the time in which an id may come again, so that one could run twice.

Change: whoever replaces an id learns its age; ids_forgotten_early counts those that were younger than the longest deadline or window of the classes that must not run twice. RequestClaims has the claims, out of ProxyLoop. The table and its file stay as they are, so that both versions of an upgrade share it. 8,192 ids of a window of 2.5 s are 3,270 a second; some are forgotten earlier, as a bucket has 8 places.

No failure was seen before the change; what was missing is the metric.

--- a/lab/src/test/java/passhatch/lab/pressure/AttemptsAfterACloseTest.java
+++ b/lab/src/test/java/passhatch/lab/pressure/AttemptsAfterACloseTest.java
@@ -16,7 +16,7 @@
 @Timeout(120)
 final class AttemptsAfterACloseTest {
 
-    // Guards against attempts that begin after the client's close, which stood behind input that was not read.
+    // Guards against attempts that begin after a close that stood behind input that was not read.
     @ParameterizedTest
     @CsvSource({
         "24, 1, false, SMALL, 1, CLOSE, NONE",
--- a/src/main/java/passhatch/proxy/ProxyLoop.java
+++ b/src/main/java/passhatch/proxy/ProxyLoop.java
@@ -23,7 +23,6 @@
 import passhatch.Balancer;
 import passhatch.Balancer.Actions;
 import passhatch.Balancer.DiscoveryFailure;
-import passhatch.Balancer.Effect;
 import passhatch.Balancer.GiveUpReason;
 import passhatch.Balancer.ListKind;
 import passhatch.Balancer.LoadReport;
@@ -98,7 +97,7 @@
     private final Metrics metrics;
     private final ProxyMemory memory;
     private final SendGuard guard;
-    private final RequestIdTable writtenIds;
+    private final RequestClaims claims;
     private final List<RequestClass> classes;
     private final int maxAttempts;
     private final Map<String, Exchange> exchanges = new HashMap<>();
@@ -121,9 +120,9 @@
     private record ModuleEvent(Runnable delivery, Runnable recovery) { }
 
     ProxyLoop(EventLoop loop, Clock clock, EventLog log, ProxyConfig config, BackendPool pool,
-            ProxyServer.ModuleFactory module, ProxyMemory memory, RequestIdTable writtenIds) {
+            ProxyServer.ModuleFactory module, ProxyMemory memory, RequestIdTable requestIds) {
         this.loop = loop;
-        this.writtenIds = writtenIds;
+        this.claims = new RequestClaims(requestIds, config.settings().classes());
         this.clock = clock;
         this.log = log;
         this.pool = pool;
@@ -152,7 +151,8 @@
      */
     String counters(Consumer<Metrics.Sink> clientMetrics) {
         return metrics.text(pendingRequests - incompleteRequests, balancer.serverCounts(clock.nowUs()),
-                List.of(discovery.calls()::addMetrics, guard::metrics, memory::addMetrics, clientMetrics));
+                List.of(discovery.calls()::addMetrics, guard::metrics, claims::addMetrics, memory::addMetrics,
+                        clientMetrics));
     }
 
     /** Whether any list from discovery has ever named the backend, or an operator has disabled it. */
@@ -310,12 +310,7 @@
      * may have come to the other process of an upgrade, and its client may have left.
      */
     boolean mayHaveRunBefore(ProxyRequest request) {
-        return mustRunOnce(request) && !exchanges.containsKey(request.id())
-                && writtenIds.contains(request.id());
-    }
-
-    private boolean mustRunOnce(ProxyRequest request) {
-        return classes.get(request.requestClass()).effect() != Effect.SAFE;
+        return !exchanges.containsKey(request.id()) && claims.mayHaveRunBefore(request);
     }
 
     /**
@@ -323,16 +318,13 @@
      * and this one has failed.
      */
     private boolean claimId(Exchange exchange) {
-        if (!mustRunOnce(exchange.request) || exchange.idClaimed) {
-            return true;
-        }
-        exchange.idClaimed = writtenIds.claim(exchange.request.id());
-        if (!exchange.idClaimed) {
+        boolean claimed = claims.claim(exchange);
+        if (!claimed) {
             guard.recordIdClaimed();
             loop.execute(FailureIsolation.isolated(log, "the end of a repeated request",
                     () -> failAfterError(exchange)));
         }
-        return exchange.idClaimed;
+        return claimed;
     }
 
     /** Counts a request that is refused before it is accepted, because too many bytes are held. */
@@ -866,9 +858,7 @@
     private void removeIfFinished(Exchange exchange) {
         if (exchange.responded && exchange.attempts.stream().allMatch(a -> a.outcome != null)) {
             exchanges.remove(exchange.request.id(), exchange);
-            if (exchange.idClaimed && !exchange.hasReachedServer()) {
-                writtenIds.release(exchange.request.id());
-            }
+            claims.releaseIfNotRun(exchange);
         }
     }
 }
--- a/src/main/java/passhatch/proxy/RequestIdTable.java
+++ b/src/main/java/passhatch/proxy/RequestIdTable.java
@@ -24,6 +24,8 @@
     private static final int BUCKET_BYTES = SLOTS_PER_BUCKET * SLOT_BYTES;
     /** Size of the table in bytes. */
     static final int BYTES = BUCKETS * BUCKET_BYTES;
+    /** Stands for the age of an id where none was replaced. */
+    static final long NOTHING_REPLACED = Long.MAX_VALUE;
     /** Hash of a slot that is free. */
     private static final long FREE = 0;
     private static final VarHandle LONGS =
@@ -62,21 +64,32 @@
         return findSlot(bucket(hash), hash) >= 0;
     }
 
-    /** Records the id; false if this or another process has claimed it before. */
-    boolean claim(String id) {
+    /**
+     * The result of recording an id.
+     *
+     * @param isFirst whether neither this nor another process had claimed it before
+     * @param replacedAgeNs how long ago the id was claimed that had to be forgotten for it, in nanoseconds;
+     *     {@link #NOTHING_REPLACED} if none had to
+     */
+    record Claim(boolean isFirst, long replacedAgeNs) { }
+
+    /** Records the id, unless this or another process has claimed it before. */
+    Claim claim(String id) {
         long hash = hash(id);
         int bucket = bucket(hash);
         while (findSlot(bucket, hash) < 0) {
             int freeSlot = findSlot(bucket, FREE);
             int slot = freeSlot >= 0 ? freeSlot : oldestSlot(bucket);
             long replaced = freeSlot >= 0 ? FREE : readHash(slot);
+            long replacedAgeNs = replaced == FREE ? NOTHING_REPLACED
+                    : Math.max(0, System.nanoTime() - claimedAtNs(slot));
             // Set first, so that the other process does not take the slot for the oldest one.
             LONGS.setVolatile(slots, slot + Long.BYTES, System.nanoTime());
             if (replaced != hash && LONGS.compareAndSet(slots, slot, replaced, hash)) {
-                return keepsClaim(bucket, slot, hash);
+                return new Claim(keepsClaim(bucket, slot, hash), replacedAgeNs);
             }
         }
-        return false;
+        return new Claim(false, NOTHING_REPLACED);
     }
 
     /** Gives the claim up if the other process has claimed the id at the same time; both may do so. */
--- a/src/test/java/passhatch/proxy/RequestIdTableTest.java
+++ b/src/test/java/passhatch/proxy/RequestIdTableTest.java
@@ -23,13 +23,13 @@
     @Test
     void anIdIsClaimedOnceUntilItIsReleased() {
         RequestIdTable table = RequestIdTable.ofThisProcess();
-        assertTrue(table.claim("a"));
-        assertFalse(table.claim("a"));
+        assertTrue(table.claim("a").isFirst());
+        assertFalse(table.claim("a").isFirst());
         assertTrue(table.contains("a"));
         assertFalse(table.contains("b"));
         table.release("a");
         assertFalse(table.contains("a"));
-        assertTrue(table.claim("a"));
+        assertTrue(table.claim("a").isFirst());
     }
 
     /** Clients may make up any number of ids: the latest thousands are known, in memory of a fixed size. */
@@ -37,7 +37,7 @@
     void theLatestIdsReplaceTheOldest() {
         RequestIdTable table = RequestIdTable.ofThisProcess();
         for (int i = 0; i < 100_000; i++) {
-            assertTrue(table.claim("id" + i));
+            assertTrue(table.claim("id" + i).isFirst());
         }
         for (int i = 98_000; i < 100_000; i++) {
             assertTrue(table.contains("id" + i), "id" + i);
@@ -49,15 +49,36 @@
         assertTrue(known <= RequestIdTable.BYTES / 16, "known: " + known);
     }
 
+    /** Whoever replaces an id learns how old it was, and so whether it might still come again. */
+    @Test
+    void anIdThatIsReplacedTellsItsAge() {
+        RequestIdTable table = RequestIdTable.ofThisProcess();
+        int slots = RequestIdTable.BYTES / 16;
+        long startNs = System.nanoTime();
+        int replaced = 0;
+        for (int i = 0; i < 2 * slots; i++) {
+            long ageNs = table.claim("id" + i).replacedAgeNs();
+            if (ageNs != RequestIdTable.NOTHING_REPLACED) {
+                replaced++;
+                assertTrue(ageNs >= 0 && ageNs <= System.nanoTime() - startNs, "age " + ageNs);
+            }
+        }
+        int known = 0;
+        for (int i = 0; i < 2 * slots; i++) {
+            known += table.contains("id" + i) ? 1 : 0;
+        }
+        assertEquals(2 * slots - known, replaced);
+    }
+
     @Test
     void processesThatShareAFileSeeEachOthersIds() throws IOException {
         Path file = folder.resolve("ids");
         Files.write(file, new byte[100]);
         RequestIdTable first = RequestIdTable.sharedIn(file);
         RequestIdTable second = RequestIdTable.sharedIn(file);
-        assertTrue(first.claim("a"));
-        assertFalse(second.claim("a"));
-        assertTrue(second.claim("b"));
+        assertTrue(first.claim("a").isFirst());
+        assertFalse(second.claim("a").isFirst());
+        assertTrue(second.claim("b").isFirst());
         assertTrue(first.contains("b"));
         assertTrue(RequestIdTable.sharedIn(file).contains("a"));
         assertEquals(RequestIdTable.BYTES, Files.size(file));
@@ -77,7 +98,7 @@
         for (RequestIdTable table : tables) {
             threads.add(new Thread(() -> {
                 for (int i = 0; i < ids; i++) {
-                    if (table.claim("id" + i)) {
+                    if (table.claim("id" + i).isFirst()) {
                         claims[i].incrementAndGet();
                     }
                 }
