Move the backends of a proxy out of ProxyLoop into BackendRegistry

Change: BackendRegistry applies lists, finds backends and gives requests for them to the pool. Behaviour stays as it is.

--- a/src/main/java/passhatch/proxy/ProxyLoop.java
+++ b/src/main/java/passhatch/proxy/ProxyLoop.java
@@ -14,10 +14,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import passhatch.Balancer;
@@ -29,12 +27,9 @@
 import passhatch.Balancer.Outcome;
 import passhatch.Balancer.Request;
 import passhatch.Balancer.RequestClass;
-import passhatch.Balancer.ServerStatus;
-import passhatch.proxy.BackendPool.Handle;
 import passhatch.proxy.BackendPool.OutgoingRequest;
 import passhatch.proxy.BackendPool.ResponseSink;
 import passhatch.proxy.BackendPool.Result;
-import passhatch.proxy.BackendPool.Target;
 import passhatch.proxy.EventLog.Kind;
 import passhatch.proxy.Exchange.Attempt;
 import passhatch.proxy.SendGuard.WriteConditions;
@@ -91,7 +86,7 @@
     private final EventLoop loop;
     private final Clock clock;
     private final EventLog log;
-    private final BackendPool pool;
+    private final BackendRegistry backends;
     private final Discovery discovery;
     private final Balancer balancer;
     private final Metrics metrics;
@@ -101,7 +96,6 @@
     private final List<RequestClass> classes;
     private final int maxAttempts;
     private final Map<String, Exchange> exchanges = new HashMap<>();
-    private final Map<String, Backend> backends = new HashMap<>();
     private final ArrayDeque<ModuleEvent> events = new ArrayDeque<>();
     /** Whether a call to the module is on the stack; events then wait in {@link #events}. */
     private boolean moduleRunning;
@@ -125,7 +119,7 @@
         this.claims = new RequestClaims(requestIds, config.settings().classes());
         this.clock = clock;
         this.log = log;
-        this.pool = pool;
+        this.backends = new BackendRegistry(clock, log, pool);
         this.memory = memory;
         this.maxAttempts = config.settings().limits().maxAttempts();
         this.metrics = new Metrics(config.classes());
@@ -192,14 +186,14 @@
     // ---- events for the module
 
     private void applyCachedList(EndpointList cachedList) {
-        updateBackends(cachedList);
+        backends.apply(cachedList);
         notifyModule(null,
                 () -> balancer.serversChanged(clock.nowUs(), ListKind.CACHED, cachedList.servers()));
     }
 
     @Override
     public void onServerList(EndpointList list) {
-        updateBackends(list);
+        backends.apply(list);
         notifyModuleOrRecover(() -> balancer.serversChanged(clock.nowUs(),
                 list.full() ? ListKind.FULL : ListKind.CHANGES, list.servers()), discovery::fetchAgain);
         readiness.setListReceived();
@@ -210,77 +204,6 @@
         notifyModule(null, () -> balancer.discoveryFailed(clock.nowUs(), failure));
     }
 
-    /**
-     * Applies a list from discovery to the backends. A removed backend is kept only until its last attempt
-     * has ended, because new ones are added all the time and the map would otherwise grow without bound. A
-     * backend with another address or start time than before is another process, so idle connections to the
-     * previous one are closed.
-     */
-    private void updateBackends(EndpointList list) {
-        if (list.full()) {
-            Set<String> listedIds = new HashSet<>();
-            list.endpoints().forEach(endpoint -> listedIds.add(endpoint.server().id()));
-            backends.values().stream().filter(b -> !listedIds.contains(b.target.id()))
-                    .forEach(this::removeFromList);
-        }
-        for (EndpointList.Endpoint endpoint : list.endpoints()) {
-            Target target = new Target(endpoint.server().id(), endpoint.address());
-            Backend backend = backends.get(target.id());
-            long startedAtUs = endpoint.server().startedAtUs();
-            if (backend != null && endpoint.server().status() != ServerStatus.GONE
-                    && !backend.isSameProcess(target, startedAtUs)) {
-                removeFromList(backend);
-                backend = null;
-            }
-            if (endpoint.server().status() == ServerStatus.GONE) {
-                if (backend != null) {
-                    removeFromList(backend);
-                }
-                continue;
-            }
-            if (backend == null) {
-                backend = new Backend(target, startedAtUs);
-                backends.put(target.id(), backend);
-            }
-            backend.listed = true;
-            backend.setAvailable(endpoint.server().status() == ServerStatus.UP, clock.nowUs());
-        }
-        backends.values().removeIf(b -> !b.listed && b.inFlight == 0);
-    }
-
-    private void removeFromList(Backend backend) {
-        backend.setAvailable(false, clock.nowUs());
-        backend.listed = false;
-        closeIdleConnections(backend);
-    }
-
-    /** Closes idle connections to a backend; the list of backends is applied even if that fails. */
-    private void closeIdleConnections(Backend backend) {
-        FailureIsolation.run(log, "closing idle connections", () -> pool.closeIdle(backend.target));
-    }
-
-    private Handle sendTo(Backend backend, OutgoingRequest outgoing, BackendPool.Listener listener) {
-        backend.inFlight++;
-        return pool.send(backend.target, outgoing, new BackendPool.Listener() {
-            @Override
-            public ResponseSink openSink(long contentLength, Runnable resumeReading) {
-                return listener.openSink(contentLength, resumeReading);
-            }
-
-            @Override
-            public void done(Result result) {
-                backend.inFlight--;
-                if (!backend.listed && backend.inFlight == 0) {
-                    backends.remove(backend.target.id(), backend);
-                }
-                if (!backend.available) {
-                    closeIdleConnections(backend);
-                }
-                listener.done(result);
-            }
-        });
-    }
-
     /** Accepts a request and reports it to the module; false if a request with its id is still open. */
     boolean accept(ProxyRequest request, Responder responder) {
         long nowUs = clock.nowUs();
@@ -588,7 +511,7 @@
     public void send(String id, String server, long timeoutUs) {
         long nowUs = clock.nowUs();
         Exchange exchange = exchanges.get(id);
-        Backend backend = backends.get(server);
+        Backend backend = backends.find(server);
         if (exchange == null) {
             log.line(Kind.ATTEMPT, "the decision module asked to send request " + id + " to " + server
                     + ", but no such request is open; nothing is sent");
@@ -624,7 +547,7 @@
         }
         attempt.deferred = false;
         long timeoutUs = Math.max(0, attemptDeadlineUs - clock.nowUs());
-        attempt.handle = sendTo(backend,
+        attempt.handle = backends.send(backend,
                 new OutgoingRequest(
                         () -> buildCheckedMessage(exchange, attempt, backend, attemptDeadlineUs),
                         exchange.request.body(), () -> mayWrite(exchange, attempt, backend),
@@ -768,20 +691,17 @@
 
     @Override
     public void closeIdle(String server) {
-        Backend backend = backends.get(server);
-        if (backend != null) {
-            pool.closeIdle(backend.target);
-        }
+        backends.closeIdle(server);
     }
 
     @Override
     public void probe(String server) {
-        Backend backend = backends.get(server);
+        Backend backend = backends.find(server);
         if (backend == null) {
             return;
         }
         long sentAtUs = clock.nowUs();
-        sendTo(backend, new OutgoingRequest(ProxyLoop::probeMessage, () -> mayProbe(backend), () -> { },
+        backends.send(backend, new OutgoingRequest(ProxyLoop::probeMessage, () -> mayProbe(backend), () -> { },
                 PROBE_TIMEOUT_US, Outcome.TIMEOUT), result -> notifyModule(null, () -> {
                     long nowUs = clock.nowUs();
                     balancer.probeResult(nowUs, server, result.outcome(), nowUs - sentAtUs,
