Move the messages to backends out of ProxyLoop into BackendMessages

Cause: ProxyLoop builds messages beside keeping the state of requests.

Change: the head and body of an attempt and of a probe are built by BackendMessages. Behaviour stays as it is.

--- a/src/main/java/passhatch/proxy/ProxyLoop.java
+++ b/src/main/java/passhatch/proxy/ProxyLoop.java
@@ -1,15 +1,7 @@
 package passhatch.proxy;
 
-import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.DefaultHttpRequest;
-import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
-import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
@@ -620,7 +612,7 @@
                 backend.unavailableForUs(nowUs), classes.get(exchange.request.requestClass()).effect(),
                 othersMayHaveRun, attempt.number + 1, attemptDeadlineUs - nowUs,
                 exchange.deadlineUs + RESPONSE_MARGIN_US - nowUs));
-        return buildMessage(exchange.request, attemptDeadlineUs);
+        return BackendMessages.forAttempt(exchange.request, attemptDeadlineUs - clock.nowUs());
     }
 
     SendGuard guard() {
@@ -631,28 +623,6 @@
         return backend.available && !balancer.isDisabled(backend.target.id());
     }
 
-    /** Builds the complete message, or only its head if the body is streamed after it. */
-    private HttpRequest buildMessage(ProxyRequest request, long attemptDeadlineUs) {
-        RequestBody body = request.body();
-        boolean fullyBuffered = body.isComplete() && !body.exceedsBuffer();
-        HttpRequest message = fullyBuffered
-                ? new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, request.method(), request.uri(),
-                        Unpooled.wrappedBuffer(body.bufferedContent()))
-                : new DefaultHttpRequest(HttpVersion.HTTP_1_1, request.method(), request.uri());
-        message.headers().set(HttpHeaderNames.HOST, "backend").set("X-Request-Id", request.id())
-                .set("X-Deadline", Math.max(1, attemptDeadlineUs - clock.nowUs()) + "u");
-        if (request.idempotencyKey() != null) {
-            message.headers().set("Idempotency-Key", request.idempotencyKey());
-        }
-        long contentLength = fullyBuffered ? body.bufferedBytes() : body.declaredLength();
-        if (contentLength < 0) {
-            message.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
-        } else if (!request.method().equals(HttpMethod.GET) || contentLength > 0) {
-            message.headers().set(HttpHeaderNames.CONTENT_LENGTH, contentLength);
-        }
-        return message;
-    }
-
     @Override
     public void reportGiveUp(String id, GiveUpReason reason) {
         metrics.requestGivenUp(reason);
@@ -701,7 +671,7 @@
             return;
         }
         long sentAtUs = clock.nowUs();
-        backends.send(backend, new OutgoingRequest(ProxyLoop::probeMessage, () -> mayProbe(backend), () -> { },
+        backends.send(backend, new OutgoingRequest(BackendMessages::forProbe, () -> mayProbe(backend), () -> { },
                 PROBE_TIMEOUT_US, Outcome.TIMEOUT), result -> notifyModule(null, () -> {
                     long nowUs = clock.nowUs();
                     balancer.probeResult(nowUs, server, result.outcome(), nowUs - sentAtUs,
@@ -709,13 +679,6 @@
                 }));
     }
 
-    private static FullHttpRequest probeMessage() {
-        FullHttpRequest message = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
-                "/status/load");
-        message.headers().set(HttpHeaderNames.HOST, "backend");
-        return message;
-    }
-
     private static LoadReport loadReport(Result result) {
         return result.report() != null || result.body() == null ? result.report()
                 : LoadReportParser.parse(new String(result.body(), StandardCharsets.UTF_8));
