Move the progress of a client's request out of ClientConnection

Cause: ClientConnection keeps the start, the rate and the end of a request beside all else.

Change: RequestProgress has the three, on MinimumReceiveRate and RequestEndEstimate. Behaviour stays as it is.

--- a/src/main/java/passhatch/proxy/ClientConnection.java
+++ b/src/main/java/passhatch/proxy/ClientConnection.java
@@ -76,7 +76,7 @@
     private final ReadAheadBuffer readAhead;
     /** Requests whose responses are not written completely, in the order of arrival. */
     private final ArrayDeque<PipelinedRequest> requests = new ArrayDeque<>();
-    private final MinimumReceiveRate receiveRate = new MinimumReceiveRate();
+    private final RequestProgress progress = new RequestProgress();
     /** The request that was accepted before its body was complete, while the body is incomplete; or null. */
     private PipelinedRequest incompleteRequest;
     private final ClientPresence presence;
@@ -84,15 +84,12 @@
     private final InputFlow input;
     private final RequestDecoder decoder;
     private final long connectedAtUs;
-    /** When the first bytes arrived of a request that is incomplete; 0 if there is none. */
-    private long incompleteSinceUs;
     /** When the last response was written; 0 if none was. */
     private long lastResponseAtUs;
     /** Whether a task of the event loop is scheduled that handles buffered input. */
     private boolean handlingScheduled;
     /** Whether the end of a request waits for a look at its client's presence. */
     private boolean presenceCheckScheduled;
-    private final RequestEndEstimate requestEnd = new RequestEndEstimate();
     /** Whether further input is discarded: the connection closes after the responses to open requests. */
     private boolean inputDiscarded;
     /** Whether the connection closes when the remainder of an incomplete request has been discarded. */
@@ -188,7 +185,7 @@
 
     /** Whether no request is open or received in part and no response is unsent, so that it can be closed. */
     boolean isIdle() {
-        return requests.isEmpty() && readAhead.isEmpty() && incompleteSinceUs == 0 && !inputDiscarded
+        return requests.isEmpty() && readAhead.isEmpty() && !progress.isIncomplete() && !inputDiscarded
                 && !hasUnsentResponse();
     }
 
@@ -235,7 +232,7 @@
 
     /** Whether its only open request is incomplete, and no response to it has begun. */
     boolean isReceivingRequest() {
-        return incompleteSinceUs > 0 && readAhead.isEmpty() && (requests.isEmpty()
+        return progress.isIncomplete() && readAhead.isEmpty() && (requests.isEmpty()
                 || requests.size() == 1 && incompleteRequest != null && !incompleteRequest.isStreamed());
     }
 
@@ -252,14 +249,14 @@
 
     /** Whether its only open request arrives too slowly to keep a place that others need. */
     boolean isTooSlowIfContended(long nowUs) {
-        return isReceivingRequest() && !reader.isBodyFull() && receiveRate.isTooSlowIfContended(nowUs,
+        return isReceivingRequest() && !reader.isBodyFull() && progress.isTooSlowIfContended(nowUs,
                 reader.hasIncompleteRequest(), incompleteRequestStartUs());
     }
 
     /** When the incomplete request started; the first one starts with the connection. */
     private long incompleteRequestStartUs() {
         return hasSentResponse() || !requests.isEmpty() && incompleteRequest == null
-                ? incompleteSinceUs : connectedAtUs;
+                ? progress.incompleteSinceUs() : connectedAtUs;
     }
 
     /**
@@ -273,11 +270,11 @@
      */
     void closeIfStalled(long nowUs, long firstRequestTimeoutUs, long idleTimeoutUs) {
         endIfOverdue();
-        if (incompleteSinceUs > 0) {
+        if (progress.isIncomplete()) {
             if (reader.isBodyFull() || !readAhead.isEmpty()) {
-                receiveRate.readingPaused(nowUs);
+                progress.readingPaused(nowUs);
             }
-            if (receiveRate.isTooSlow(nowUs, incompleteRequestStartUs())) {
+            if (progress.isTooSlow(nowUs, incompleteRequestStartUs())) {
                 logEvent("request refused with 408 Request Timeout: it is received too slowly");
                 rejectRequest(HttpResponseStatus.REQUEST_TIMEOUT);
             }
@@ -295,9 +292,9 @@
         long endReceivedAtUs = readAhead.firstEndReceivedAtUs();
         long unhandledSinceUs = endReceivedAtUs > 0 ? endReceivedAtUs : transfers.unreadSinceUs();
         if (incompleteRequest != null && incompleteRequest.activeId() != null
-                && (endReceivedAtUs > 0 || transfers.hasUnread()) && requestEnd.isPossible()) {
+                && (endReceivedAtUs > 0 || transfers.hasUnread()) && progress.mayHaveEnded()) {
             server.proxy().endIfOverdue(incompleteRequest.activeId(),
-                    requestEnd.earliestUs(unhandledSinceUs), UNREAD_END_GRACE_US);
+                    progress.earliestEndUs(unhandledSinceUs), UNREAD_END_GRACE_US);
         }
     }
 
@@ -551,19 +548,17 @@
             return;
         }
         if (part instanceof HttpRequest) {
-            receiveRate.headCompleted(server.nowUs());
-            requestEnd.start(server.nowUs(), incoming.body().declaredLength());
+            progress.headHandled(server.nowUs(), incoming.body().declaredLength());
             if (requests.isEmpty() && reader.isAwaitingContinue(part)) {
                 channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
                         HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER));
             }
         }
         if (part instanceof HttpContent content) {
-            receiveRate.bytesReceived(server.nowUs(), content.content().readableBytes());
-            requestEnd.handled(server.nowUs(), content.content().readableBytes());
+            progress.bodyHandled(server.nowUs(), content.content().readableBytes());
         }
         if (incoming.body().isComplete()) {
-            incompleteSinceUs = 0;
+            progress.noteNone();
             if (incompleteRequest == null) {
                 acceptRequest(incoming, receivedAtUs);
             } else {
@@ -573,7 +568,7 @@
                     discardFurtherInput();
                 }
                 server.proxy().requestComplete(completed.activeId(),
-                        server.waitedUs(requestEnd.earliestUs(receivedAtUs)));
+                        server.waitedUs(progress.earliestEndUs(receivedAtUs)));
             }
         } else if (incompleteRequest == null && incoming.body().exceedsBuffer()) {
             acceptRequest(incoming, receivedAtUs);
@@ -661,9 +656,9 @@
     /** Notes when an incomplete request began to arrive. */
     private void updateIncompleteSince() {
         if (inputDiscarded || !reader.hasIncompleteRequest() && !decoder.hasUndeliveredBytes()) {
-            incompleteSinceUs = 0;
-        } else if (incompleteSinceUs == 0) {
-            incompleteSinceUs = server.nowUs();
+            progress.noteNone();
+        } else {
+            progress.noteIncomplete(server.nowUs());
         }
     }
 
@@ -682,7 +677,7 @@
         noteCloseReason(CloseReason.REJECTED);
         requestRejected = true;
         discardFurtherInput();
-        incompleteSinceUs = 0;
+        progress.noteNone();
         PipelinedRequest request = incompleteRequest;
         incompleteRequest = null;
         if (request == null) {
@@ -781,7 +776,7 @@
             // The remainder of the request is read and discarded: a reset could overtake the response.
             incompleteRequest = null;
             closesAfterIncompleteRequest = true;
-            incompleteSinceUs = 0;
+            progress.noteNone();
             channel.eventLoop().schedule(this::close, REQUEST_REMAINDER_TIMEOUT_MS, TimeUnit.MILLISECONDS);
             discardFurtherInput();
             return;
@@ -809,7 +804,7 @@
         reader.discardIncomplete();
         readAhead.releaseAll();
         input.releaseUndelivered();
-        incompleteSinceUs = 0;
+        progress.noteNone();
     }
 
     /** Counts and logs the requests whose client has left before their responses. */
