Move the admission of requests and the reasons of a close out of ClientConnection

Change: RequestAdmission decides whether a request is passed on, CloseReason is a file of its own. Behaviour stays as it is.

--- a/src/main/java/passhatch/proxy/ClientConnection.java
+++ b/src/main/java/passhatch/proxy/ClientConnection.java
@@ -13,7 +13,6 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
-import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseEncoder;
@@ -51,24 +50,6 @@
      */
     private static final long UNREAD_END_GRACE_US = 150_000;
 
-    /** Why a connection was closed: the first reason there was. */
-    enum CloseReason {
-        /** The client closed it, or it broke. */
-        BY_CLIENT,
-        /** No request began on it for too long, or the proxy drains. */
-        IDLE,
-        /** Others needed its place. */
-        EVICTED,
-        /** A request on it was rejected. */
-        REJECTED,
-        /** Its last response said that it closes. */
-        AFTER_RESPONSE,
-        /** A response could not be given or completed. */
-        RESPONSE_FAILED,
-        /** An error in its handling, or no progress of a write. */
-        ERROR
-    }
-
     private final ClientServer server;
     private final Channel channel;
     private final MemoryAccount memory;
@@ -597,7 +578,7 @@
     private void dispatchOrReject(PipelinedRequest request, RequestReader.IncomingRequest incoming,
             long receivedAtUs) {
         try {
-            dispatchRequest(request, incoming, receivedAtUs);
+            server.admission().admit(request, incoming, receivedAtUs);
         } catch (RequestParser.InvalidRequestException invalid) {
             logEvent("request refused with " + invalid.status() + ": " + invalid.getMessage());
             if (incoming.body().isComplete()) {
@@ -621,38 +602,6 @@
         }
     }
 
-    /** Answers {@code /ready}, and passes any other request to the proxy. */
-    private void dispatchRequest(PipelinedRequest request, RequestReader.IncomingRequest incoming,
-            long receivedAtUs) throws RequestParser.InvalidRequestException {
-        if (incoming.head().method().equals(HttpMethod.GET) && incoming.head().uri().equals("/ready")) {
-            request.respond(ProxyResponse.withStatus(server.isReady() ? HttpResponseStatus.OK
-                    : HttpResponseStatus.SERVICE_UNAVAILABLE));
-            return;
-        }
-        ProxyRequest proxyRequest = server.parse(incoming, receivedAtUs);
-        if (transferBudget().isExhausted()) {
-            server.proxy().refuseForMemory(proxyRequest);
-            throw new RequestParser.InvalidRequestException(HttpResponseStatus.SERVICE_UNAVAILABLE,
-                    "the memory for responses and streamed bodies is exhausted");
-        }
-        if (!request.reserveHead(incoming.head())) {
-            server.proxy().refuseForMemory(proxyRequest);
-            throw new RequestParser.InvalidRequestException(HttpResponseStatus.SERVICE_UNAVAILABLE,
-                    "the memory for open requests is exhausted");
-        }
-        if (server.proxy().mayHaveRunBefore(proxyRequest)) {
-            throw new RequestParser.InvalidRequestException(HttpResponseStatus.CONFLICT,
-                    "a request with its X-Request-Id may have run");
-        }
-        request.setActiveId(proxyRequest.id());
-        if (!server.proxy().accept(proxyRequest, request)) {
-            // The id belongs to another request, which must not be affected by events of this connection.
-            request.setActiveId(null);
-            throw new RequestParser.InvalidRequestException(HttpResponseStatus.BAD_REQUEST,
-                    "X-Request-Id is already in use");
-        }
-    }
-
     /** Notes when an incomplete request began to arrive. */
     private void updateIncompleteSince() {
         if (inputDiscarded || !reader.hasIncompleteRequest() && !decoder.hasUndeliveredBytes()) {
--- a/src/main/java/passhatch/proxy/ClientConnections.java
+++ b/src/main/java/passhatch/proxy/ClientConnections.java
@@ -66,7 +66,7 @@
     private final long[] evictions = new long[EvictionReason.values().length];
     /** Requests that were rejected because others needed the memory that they held. */
     private long gaveUpMemory;
-    private final long[] closes = new long[ClientConnection.CloseReason.values().length];
+    private final long[] closes = new long[CloseReason.values().length];
 
     /**
      * Creates a set without connections.
@@ -213,7 +213,7 @@
         for (EvictionReason reason : EvictionReason.values()) {
             sink.add("clients.evicted." + Metrics.lowerCase(reason), evictions[reason.ordinal()]);
         }
-        for (ClientConnection.CloseReason reason : ClientConnection.CloseReason.values()) {
+        for (CloseReason reason : CloseReason.values()) {
             sink.add("clients.closed." + Metrics.lowerCase(reason), closes[reason.ordinal()]);
         }
     }
--- a/src/main/java/passhatch/proxy/ClientServer.java
+++ b/src/main/java/passhatch/proxy/ClientServer.java
@@ -60,6 +60,7 @@
     private final EventLog log;
     private final RequestParser parser;
     private final ProxyLoop proxy;
+    private final RequestAdmission admission = new RequestAdmission(this);
     private final ProxyMemory memory;
     private final DrainState drainState;
     private final ClientConnections connections;
@@ -309,6 +310,11 @@
         return proxy;
     }
 
+    /** Takes the requests of clients. */
+    RequestAdmission admission() {
+        return admission;
+    }
+
     /**
      * Parses a request. The time that it has been waiting is subtracted from its deadline, unless its body is
      * incomplete: then its time counts from its last byte.
--- a/src/main/java/passhatch/proxy/ProxyLoop.java
+++ b/src/main/java/passhatch/proxy/ProxyLoop.java
@@ -671,8 +671,8 @@
             return;
         }
         long sentAtUs = clock.nowUs();
-        backends.send(backend, new OutgoingRequest(BackendMessages::forProbe, () -> mayProbe(backend), () -> { },
-                PROBE_TIMEOUT_US, Outcome.TIMEOUT), result -> notifyModule(null, () -> {
+        backends.send(backend, new OutgoingRequest(BackendMessages::forProbe, () -> mayProbe(backend),
+                () -> { }, PROBE_TIMEOUT_US, Outcome.TIMEOUT), result -> notifyModule(null, () -> {
                     long nowUs = clock.nowUs();
                     balancer.probeResult(nowUs, server, result.outcome(), nowUs - sentAtUs,
                             loadReport(result));
