Tests: clients that leave with much behind their request, in LeavingClientsTest and in the soak

Change: LeavingClientsTest.behindMoreRequestsThanAreReadAhead; three of ten clients of the soak that leave send 1,000 small requests first, drawn from a generator of their own.

--- a/lab/src/main/java/passhatch/lab/soak/LoadClient.java
+++ b/lab/src/main/java/passhatch/lab/soak/LoadClient.java
@@ -23,6 +23,10 @@
     private static final int CONNECT_TIMEOUT_MS = 1_000;
     /** Part of the requests whose client disconnects without waiting for the response. */
     private static final double ABANDON_RATIO = 0.04;
+    /** Part of these that send many small requests behind it, which are not looked at. */
+    private static final double PIPELINE_RATIO = 0.3;
+    private static final int PIPELINED_REQUESTS = 1_000;
+    private static final int PIPELINED_PER_WRITE = 20;
     /** Part of the responses after which the client closes its connection. */
     private static final double CLOSE_RATIO = 0.05;
     /** Part of the requests with a deadline of 20 to 320 ms. */
@@ -34,6 +38,8 @@
     private final ProxyInstance proxy;
     private final RunObservations observations;
     private final SplittableRandom random;
+    /** Decides on what is sent behind a request, so that the requests of a seed stay the same. */
+    private final SplittableRandom pipelineRandom;
     private final int meanGapMs;
     private final int number;
     private long sentRequests;
@@ -52,6 +58,7 @@
         this.proxy = proxy;
         this.number = number;
         this.random = new SplittableRandom(seed);
+        this.pipelineRandom = new SplittableRandom(~seed);
         this.meanGapMs = meanGapMs;
         this.observations = observations;
     }
@@ -116,7 +123,7 @@
         Response response;
         try {
             socket.getOutputStream().write(kind.message(id, timeLeft).getBytes(StandardCharsets.US_ASCII));
-            response = abandons ? abandon() : readResponse(id, deadlineNs + RESPONSE_SLACK.toNanos());
+            response = abandons ? abandon(id) : readResponse(id, deadlineNs + RESPONSE_SLACK.toNanos());
         } catch (IOException broken) {
             response = new Response(RequestOutcome.NOT_TAKEN, 0);
         }
@@ -128,12 +135,26 @@
         }
     }
 
-    private Response abandon() throws InterruptedException {
-        TimeUnit.MILLISECONDS.sleep(random.nextInt(100));
+    private Response abandon(String id) throws InterruptedException, IOException {
+        int stayMs = random.nextInt(100);
+        if (pipelineRandom.nextDouble() < PIPELINE_RATIO) {
+            sendBehind(id);
+        }
+        TimeUnit.MILLISECONDS.sleep(stayMs);
         close();
         return new Response(RequestOutcome.LEFT, 0);
     }
 
+    private void sendBehind(String id) throws IOException {
+        for (int sent = 0; sent < PIPELINED_REQUESTS; sent += PIPELINED_PER_WRITE) {
+            StringBuilder requests = new StringBuilder();
+            for (int i = sent; i < sent + PIPELINED_PER_WRITE; i++) {
+                requests.append(RequestKind.READ.message(id + "-" + i, RequestKind.READ.deadline));
+            }
+            socket.getOutputStream().write(requests.toString().getBytes(StandardCharsets.US_ASCII));
+        }
+    }
+
     /** The outcome of a request and whether its connection must be closed. */
     private static final class Response {
         private final RequestOutcome outcome;
--- a/src/test/java/passhatch/proxy/LeavingClientsTest.java
+++ b/src/test/java/passhatch/proxy/LeavingClientsTest.java
@@ -262,6 +262,46 @@
         assertNothingWasSent();
     }
 
+    // Guards against attempts for a client whose close stands behind requests that have not been read yet.
+    @ParameterizedTest
+    @EnumSource
+    void behindMoreRequestsThanAreReadAhead(Disconnect disconnect) throws Exception {
+        BlockingQueue<Actions> module = new LinkedBlockingQueue<>();
+        rig.module((settings, seed, actions) -> {
+            module.add(actions);
+            return ScriptedModule.of((method, args) -> {
+                if (args[args.length - 1] instanceof Balancer.Request request) {
+                    receivedIds.add(request.id());
+                    if (request.id().equals("last")) {
+                        actions.send(request.id(), "s", 0);
+                    }
+                }
+            });
+        }).start(Rig.entry("s", backend.address(), "SERVING"));
+        HttpTestConnection client = rig.client();
+        StringBuilder requests = new StringBuilder();
+        for (int i = 0; i < 600; i++) {
+            requests.append(Rig.get("a" + i, ""));
+        }
+        rig.proxy().submitToLoop(() -> {
+            client.write(requests.toString());
+            return null;
+        }).get();
+        for (int i = 0; i < 4; i++) {
+            assertEquals("a" + i, next(receivedIds));
+        }
+        disconnect.perform(client);
+        rig.advanceClock(100);
+        Actions actions = module.take();
+        rig.proxy().submitToLoop(() -> {
+            for (int i = 0; i < 4; i++) {
+                actions.send("a" + i, "s", 0);
+            }
+            return null;
+        }).get();
+        assertNothingWasSent();
+    }
+
     /** Many clients disconnect at once: none of their requests is sent. */
     @ParameterizedTest
     @EnumSource
