Limit how much one look at a client's socket reads while it is watched

Cause: a look read up to 48 rounds in a row, which are of 512 KiB each while reading is not paused: 24 MiB of a client that sends without a pause, before others get their turn. Found by reading the change.

Change: four rounds while the socket is watched, 48 reads of 32 KiB while reading is paused. A test that an upload of 1 MB which has waited 0.4 s for a server is sent, as its client has stayed.

--- a/src/main/java/passhatch/proxy/ClientSocket.java
+++ b/src/main/java/passhatch/proxy/ClientSocket.java
@@ -7,8 +7,10 @@
 /** The socket of a client connection, which is read while there is room for its input. */
 final class ClientSocket implements ClientPresence.Socket {
 
-    /** Reads in a row, of up to 32 KiB each, before other connections get their turn. */
-    private static final int MAX_READS = 48;
+    /** Reads of up to 32 KiB while reading is paused, before other connections get their turn. */
+    private static final int MAX_PAUSED_READS = 48;
+    /** Rounds of sixteen such reads while it is not. */
+    private static final int MAX_WATCHED_ROUNDS = 4;
 
     private final Channel channel;
     private final BooleanSupplier hasRoom;
@@ -30,8 +32,9 @@
 
     @Override
     public boolean read() {
+        int maxRounds = isWatched() ? MAX_WATCHED_ROUNDS : MAX_PAUSED_READS;
         boolean mayBeMore = true;
-        for (int reads = 0; mayBeMore && reads < MAX_READS; reads++) {
+        for (int round = 0; mayBeMore && round < maxRounds; round++) {
             if (!channel.isActive() || !hasRoom.getAsBoolean()
                     || !(channel.unsafe() instanceof AbstractNioChannel.NioUnsafe unsafeChannel)) {
                 return false;
--- a/src/test/java/passhatch/proxy/LeavingClientsTest.java
+++ b/src/test/java/passhatch/proxy/LeavingClientsTest.java
@@ -302,6 +302,32 @@
         assertNothingWasSent();
     }
 
+    // Guards against refusals of sound uploads that wait for a server, with all of their body on its way.
+    @Test
+    void anUploadThatHasWaitedIsSentWhileItsClientStays() throws Exception {
+        BlockingQueue<Actions> module = new LinkedBlockingQueue<>();
+        rig.module((settings, seed, actions) -> {
+            module.add(actions);
+            return ScriptedModule.of((method, args) -> {
+                if (args[args.length - 1] instanceof Balancer.Request request) {
+                    receivedIds.add(request.id());
+                }
+            });
+        }).start(Rig.entry("s", backend.address(), "SERVING"));
+        HttpTestConnection client = rig.client();
+        int length = 1_000_000;
+        client.write("POST /move HTTP/1.1\r\nHost: p\r\nX-Request-Id: a\r\nContent-Length: " + length
+                + "\r\n\r\n" + "x".repeat(length));
+        assertEquals("a", next(receivedIds));
+        rig.advanceClock(400);
+        Actions actions = module.take();
+        rig.proxy().submitToLoop(() -> {
+            actions.send("a", "s", 0);
+            return null;
+        }).get();
+        assertEquals("a", client.read().text());
+    }
+
     /** Many clients disconnect at once: none of their requests is sent. */
     @ParameterizedTest
     @EnumSource
