Count a client as having left only if it was not this process that closed

Found by reading the change.

Change: counted where the client's close, reset or half close is seen, and at an end for which this process has no reason of its own.

--- a/src/main/java/passhatch/proxy/ClientConnection.java
+++ b/src/main/java/passhatch/proxy/ClientConnection.java
@@ -744,7 +744,6 @@
 
     /** Abandons all open requests, as their client is gone or the connection fails; releases all buffers. */
     private void abandonRequests() {
-        noteAbandoned();
         List<PipelinedRequest> abandoned = List.copyOf(requests);
         requests.clear();
         incompleteRequest = null;
@@ -795,6 +794,7 @@
         boolean canSendResponse = requests.isEmpty() ? !readAhead.isEmpty()
                 : !requests.peek().hasStartedStream();
         inputDiscarded = true;
+        noteAbandoned();
         abandonRequests();
         if (canSendResponse) {
             writeResponse(ProxyResponse.failed(), false);
@@ -807,6 +807,9 @@
     public void channelInactive(ChannelHandlerContext ctx) {
         presence.noteLeft();
         inputDiscarded = true;
+        if (closeReason() == CloseReason.BY_CLIENT) {
+            noteAbandoned();
+        }
         abandonRequests();
         server.connectionClosed(this);
     }
