LeavingClientsTest: an upload whose client may have left is refused, and not sent

Cause: no test had a client of which nothing can be known; only the real processes met that.

Change: an upload of 1 MB waits 0.4 s for a server while memory is scarce, so that its input cannot be read to the end. It gets 503, and nothing reaches the server.

--- a/src/test/java/passhatch/proxy/LeavingClientsTest.java
+++ b/src/test/java/passhatch/proxy/LeavingClientsTest.java
@@ -302,30 +302,62 @@
         assertNothingWasSent();
     }
 
-    // Guards against refusals of sound uploads that wait for a server, with all of their body on its way.
-    @Test
-    void anUploadThatHasWaitedIsSentWhileItsClientStays() throws Exception {
+    /** Sends a request of 1 MB, which the module holds, and has it sent when its evidence is old. */
+    private HttpTestConnection uploadThatWaits() throws Exception {
+        String piece = "x".repeat(100_000);
+        int pieces = 10;
         BlockingQueue<Actions> module = new LinkedBlockingQueue<>();
         rig.module((settings, seed, actions) -> {
             module.add(actions);
             return ScriptedModule.of((method, args) -> {
                 if (args[args.length - 1] instanceof Balancer.Request request) {
                     receivedIds.add(request.id());
+                    if (request.id().equals("last")) {
+                        actions.send(request.id(), "s", 0);
+                    }
                 }
             });
         }).start(Rig.entry("s", backend.address(), "SERVING"));
         HttpTestConnection client = rig.client();
-        int length = 1_000_000;
-        client.write("POST /move HTTP/1.1\r\nHost: p\r\nX-Request-Id: a\r\nContent-Length: " + length
-                + "\r\n\r\n" + "x".repeat(length));
+        CountDownLatch moreThanIsReadAhead = new CountDownLatch(pieces / 2);
+        Thread writer = new Thread(() -> {
+            try {
+                client.write("POST /move HTTP/1.1\r\nHost: p\r\nX-Request-Id: a\r\nContent-Length: "
+                        + piece.length() * pieces + "\r\n\r\n");
+                for (int i = 0; i < pieces; i++) {
+                    client.write(piece);
+                    moreThanIsReadAhead.countDown();
+                }
+            } catch (IOException closed) {
+                // A request that is refused is not read to its end.
+            }
+        });
+        writer.start();
         assertEquals("a", next(receivedIds));
+        moreThanIsReadAhead.await();
+        Rig.awaitReady(rig.proxy().address());
         rig.advanceClock(400);
         Actions actions = module.take();
         rig.proxy().submitToLoop(() -> {
             actions.send("a", "s", 0);
             return null;
         }).get();
-        assertEquals("a", client.read().text());
+        return client;
+    }
+
+    // Guards against refusals of sound uploads that wait for a server, with all of their body on its way.
+    @Test
+    void anUploadThatHasWaitedIsSentWhileItsClientStays() throws Exception {
+        assertEquals("a", uploadThatWaits().read().text());
+    }
+
+    // Guards against an attempt whose client may have closed behind more of its body than can be read.
+    @Test
+    void anUploadWhoseClientMayHaveLeftIsRefused() throws Exception {
+        rig.memory(new ProxyMemory(new MemoryBudget(400_000), new MemoryBudget(1 << 24)));
+        assertEquals(503, uploadThatWaits().read().status());
+        rig.awaitLog("nobody can tell whether its client is still connected");
+        assertNothingWasSent();
     }
 
     /** Many clients disconnect at once: none of their requests is sent. */
