Read uploads that wait one at a time while memory is scarce, instead of refusing them

What callers saw: of 24 uploads of 400 to 900 kB sent at once to fast servers, 9 to 15 got 503 since presence is decided from evidence, also on a quiet machine.

Cause: an attempt that begins 30 ms after its client was last known needs a look behind its input. While memory is scarce a look had 8 KiB, so that no upload could be read to its end. With more for all at once each held a part and none came to its end.

Change: LookLease gives one upload at a time up to 1 MiB although memory is scarce, as long as less than seven eighths are held; the others wait, their attempts deferred, until their time is over. It is counted without others giving way. A look that began while reading was on and ran into a pause goes on later instead of counting as futile.

--- a/src/main/java/passhatch/proxy/ClientConnection.java
+++ b/src/main/java/passhatch/proxy/ClientConnection.java
@@ -96,7 +96,7 @@
         this.channel = channel;
         this.connectedAtUs = clock.nowUs() - queueTimeUs;
         this.presence =
-                new ClientPresence(clock, new ClientSocket(channel, this::hasRoomToLook), connectedAtUs);
+                new ClientPresence(clock, new ClientSocket(channel, this::roomToLook), connectedAtUs);
         this.transfers = new TransferMonitor(clock, queueTimeUs, server::maxUnreadUs);
         this.memory = new MemoryAccount(server.memory().input(), clock, server::reclaimMemory);
         this.reader = new RequestReader(memory);
@@ -137,8 +137,9 @@
         return " (client " + channel.remoteAddress() + ", " + describeInput() + ")";
     }
 
-    private boolean hasRoomToLook() {
-        return !lastResponseWritten && input.hasRoomToLook();
+    private ClientSocket.LookRoom roomToLook() {
+        return lastResponseWritten ? ClientSocket.LookRoom.NONE
+                : input.roomToLook(incompleteRequest != null, server.lookLease());
     }
 
     private String describeInput() {
@@ -154,7 +155,11 @@
 
     /** What is known of the client's presence; may find and handle its close. */
     ClientPresence.Status clientStatus() {
-        return presence.status();
+        ClientPresence.Status status = presence.status();
+        if (status != ClientPresence.Status.UNDECIDED) {
+            input.lookEnded(server.lookLease());
+        }
+        return status;
     }
 
     /** The handlers of the channel's pipeline, from the socket up to and including this one. */
@@ -471,7 +476,7 @@
         if (!readAhead.isEndNext()) {
             return true;
         }
-        ClientPresence.Status status = presence.status();
+        ClientPresence.Status status = clientStatus();
         if (status == ClientPresence.Status.UNKNOWN) {
             rejectAsMaybeGone();
         } else if (status == ClientPresence.Status.UNDECIDED) {
--- a/src/main/java/passhatch/proxy/ClientPresence.java
+++ b/src/main/java/passhatch/proxy/ClientPresence.java
@@ -22,7 +22,7 @@
     enum Status {
         /** It is connected, or has left a moment ago. */
         PRESENT,
-        /** Its input has been read, but more may be on its way: it is to be asked for again in a moment. */
+        /** It takes a moment to tell, as more input may be on its way: it is to be asked for again. */
         UNDECIDED,
         /** It may have left: there is input that has not been read. */
         UNKNOWN,
@@ -44,12 +44,18 @@
         /** Whether the event loop is told of input, so that it reads it at once. */
         boolean isWatched();
 
-        /**
-         * Reads what there is, as far as there is room for it, and reports that to this class.
-         *
-         * @return whether all that there was has been read
-         */
-        boolean read();
+        /** Reads what there is, as far as there is room for it, and reports that to this class. */
+        LookResult read();
+    }
+
+    /** The result of a look at the socket. */
+    enum LookResult {
+        /** All that there was has been read. */
+        EMPTIED,
+        /** There is more, and no room for it. */
+        MORE,
+        /** There is more, and there may be room for it in a moment. */
+        MORE_LATER
     }
 
     private final Clock clock;
@@ -153,19 +159,19 @@
      * and handled within this call.
      */
     Status status() {
-        boolean emptied = !left && ageUs() > FRESH_EVIDENCE_AGE_US && look();
+        LookResult look = left || ageUs() <= FRESH_EVIDENCE_AGE_US ? LookResult.MORE : look();
         if (left) {
             return Status.LEFT;
         }
         if (ageUs() <= MAX_EVIDENCE_AGE_US) {
             return Status.PRESENT;
         }
-        return emptied ? Status.UNDECIDED : Status.UNKNOWN;
+        return look == LookResult.MORE ? Status.UNKNOWN : Status.UNDECIDED;
     }
 
-    private boolean look() {
+    private LookResult look() {
         if (reading) {
-            return false;
+            return LookResult.MORE;
         }
         reading = true;
         try {
--- a/src/main/java/passhatch/proxy/ClientServer.java
+++ b/src/main/java/passhatch/proxy/ClientServer.java
@@ -61,6 +61,7 @@
     private final RequestParser parser;
     private final ProxyLoop proxy;
     private final RequestAdmission admission = new RequestAdmission(this);
+    private final LookLease lookLease;
     private final ProxyMemory memory;
     private final DrainState drainState;
     private final ClientConnections connections;
@@ -99,6 +100,7 @@
         this.connections = new ClientConnections(log, maxConnections);
         this.memory = memory;
         this.drainState = drainState;
+        this.lookLease = new LookLease(clock);
         this.nextLoopCheckUs = clock.nowUs();
         REJECTION_STATUSES.forEach(status -> rejections.put(status, 0L));
         RepeatingTask.start(loop, log, "check of the loop's delay", LOOP_CHECK_INTERVAL_US,
@@ -310,6 +312,11 @@
         return proxy;
     }
 
+    /** Held by the connection that reads much of an upload while memory is scarce. */
+    LookLease lookLease() {
+        return lookLease;
+    }
+
     /** Takes the requests of clients. */
     RequestAdmission admission() {
         return admission;
--- a/src/main/java/passhatch/proxy/ClientSocket.java
+++ b/src/main/java/passhatch/proxy/ClientSocket.java
@@ -2,27 +2,37 @@
 
 import io.netty.channel.Channel;
 import io.netty.channel.nio.AbstractNioChannel;
-import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
 
 /** The socket of a client connection, which is read while there is room for its input. */
 final class ClientSocket implements ClientPresence.Socket {
 
-    /** Reads of up to 32 KiB while reading is paused, before other connections get their turn. */
+    /** Reads of 4 to 32 KiB while reading is paused, before other connections get their turn. */
     private static final int MAX_PAUSED_READS = 48;
     /** Rounds of sixteen such reads while it is not. */
     private static final int MAX_WATCHED_ROUNDS = 4;
 
     private final Channel channel;
-    private final BooleanSupplier hasRoom;
+    private final Supplier<LookRoom> room;
 
     /**
      * Creates the socket of an open connection.
      *
-     * @param hasRoom whether input may be read now, also while reading is paused
+     * @param room whether input may be read now, also while reading is paused
      */
-    ClientSocket(Channel channel, BooleanSupplier hasRoom) {
+    ClientSocket(Channel channel, Supplier<LookRoom> room) {
         this.channel = channel;
-        this.hasRoom = hasRoom;
+        this.room = room;
+    }
+
+    /** Whether there is room for what a look at the socket reads. */
+    enum LookRoom {
+        /** There is. */
+        FREE,
+        /** There is none. */
+        NONE,
+        /** There will be in a moment, when the look at another connection has ended. */
+        LATER
     }
 
     @Override
@@ -31,17 +41,22 @@
     }
 
     @Override
-    public boolean read() {
+    public ClientPresence.LookResult read() {
         int maxRounds = isWatched() ? MAX_WATCHED_ROUNDS : MAX_PAUSED_READS;
-        boolean mayBeMore = true;
-        for (int round = 0; mayBeMore && round < maxRounds; round++) {
-            if (!channel.isActive() || !hasRoom.getAsBoolean()
+        for (int round = 0; round < maxRounds && channel.isActive(); round++) {
+            LookRoom free = room.get();
+            if (free == LookRoom.LATER) {
+                return ClientPresence.LookResult.MORE_LATER;
+            }
+            if (free == LookRoom.NONE
                     || !(channel.unsafe() instanceof AbstractNioChannel.NioUnsafe unsafeChannel)) {
-                return false;
+                return ClientPresence.LookResult.MORE;
             }
             unsafeChannel.read();
-            mayBeMore = !BudgetedReceiveAllocator.hasFoundNothing(channel);
+            if (BudgetedReceiveAllocator.hasFoundNothing(channel)) {
+                return ClientPresence.LookResult.EMPTIED;
+            }
         }
-        return !mayBeMore;
+        return isWatched() ? ClientPresence.LookResult.MORE : ClientPresence.LookResult.MORE_LATER;
     }
 }
--- a/src/main/java/passhatch/proxy/InputFlow.java
+++ b/src/main/java/passhatch/proxy/InputFlow.java
@@ -38,6 +38,8 @@
     private int partsThisTurn;
     /** Whether reading is paused because there is no room for more input. */
     private boolean readingPaused;
+    /** Whether it may read up to {@link #MAX_LOOK_BYTES} although memory is scarce. */
+    private boolean holdsLease;
     /** Whether reading was paused since all input was read; the client may have more to send at once. */
     private boolean wasPaused;
 
@@ -80,10 +82,31 @@
         }
     }
 
-    /** Whether input may be read to find a close behind it, also while reading is paused. */
-    boolean hasRoomToLook() {
-        return !readingPaused || decoder.isPaused() && decoder.undecodedBytes()
-                < (memory.isScarce() ? MAX_SCARCE_LOOK_BYTES : MAX_LOOK_BYTES);
+    /**
+     * Whether input may be read to find a close behind it, also while reading is paused.
+     *
+     * @param uploading whether a request is incomplete, which cannot be sent before its input is read
+     * @param lease held while much of an upload is read although memory is scarce
+     */
+    ClientSocket.LookRoom roomToLook(boolean uploading, LookLease lease) {
+        if (!readingPaused) {
+            return ClientSocket.LookRoom.FREE;
+        }
+        int undecodedBytes = decoder.undecodedBytes();
+        if (undecodedBytes < (memory.isScarce() ? MAX_SCARCE_LOOK_BYTES : MAX_LOOK_BYTES)) {
+            return ClientSocket.LookRoom.FREE;
+        }
+        if (!uploading || undecodedBytes >= MAX_LOOK_BYTES) {
+            return ClientSocket.LookRoom.NONE;
+        }
+        holdsLease = (holdsLease || memory.hasRoomForLarge()) && lease.acquire(this);
+        return holdsLease ? ClientSocket.LookRoom.FREE : ClientSocket.LookRoom.LATER;
+    }
+
+    /** Called when the presence of the client has been decided. */
+    void lookEnded(LookLease lease) {
+        holdsLease = false;
+        lease.release(this);
     }
 
     /** Called when buffered parts have been handled, so that more may be decoded. */
@@ -155,6 +178,12 @@
             undeliveredBytes += addedBytes;
             return true;
         }
+        if (holdsLease) {
+            // Others must not give way to it: it gives the memory back as soon as it is sent.
+            memory.hold(addedBytes);
+            undeliveredBytes += addedBytes;
+            return true;
+        }
         if (memory.reserve(addedBytes)) {
             undeliveredBytes += addedBytes;
             return true;
--- a/src/main/java/passhatch/proxy/MemoryAccount.java
+++ b/src/main/java/passhatch/proxy/MemoryAccount.java
@@ -69,6 +69,11 @@
         return budget.isScarce();
     }
 
+    /** Whether connections that hold much could still hold more, without another one giving way. */
+    boolean hasRoomForLarge() {
+        return budget.hasRoomForLarge();
+    }
+
     /** Whether it holds enough to be asked to give way. */
     boolean isLarge() {
         return heldBytes > SMALL_BYTES;
--- a/src/main/java/passhatch/proxy/MemoryBudget.java
+++ b/src/main/java/passhatch/proxy/MemoryBudget.java
@@ -34,6 +34,11 @@
         return reserveUpTo(maxBytes - maxBytes / SMALL_SHARE_DIVISOR, bytes);
     }
 
+    /** Whether a holder of much could reserve more now. */
+    boolean hasRoomForLarge() {
+        return heldBytes < maxBytes - maxBytes / SMALL_SHARE_DIVISOR;
+    }
+
     private boolean reserveUpTo(int limitBytes, int bytes) {
         if (heldBytes + bytes > limitBytes) {
             failedReservations++;
--- a/src/main/java/passhatch/proxy/ProxyLoop.java
+++ b/src/main/java/passhatch/proxy/ProxyLoop.java
@@ -542,7 +542,8 @@
         attempt.handle = backends.send(backend,
                 new OutgoingRequest(
                         () -> buildCheckedMessage(exchange, attempt, backend, attemptDeadlineUs),
-                        exchange.request.body(), () -> mayWrite(exchange, attempt, backend),
+                        exchange.request.body(),
+                        () -> mayWrite(exchange, attempt, backend, attemptDeadlineUs),
                         () -> {
                             attempt.written = true;
                             metrics.attemptSent();
@@ -572,15 +573,16 @@
      * Whether an attempt may be written now. The client is asked for first, as a close that is found then
      * ends the request.
      */
-    private boolean mayWrite(Exchange exchange, Attempt attempt, Backend backend) {
+    private boolean mayWrite(Exchange exchange, Attempt attempt, Backend backend, long attemptDeadlineUs) {
         ClientPresence.Status client = exchange.responder.clientStatus();
         boolean open = !exchange.responded && exchange.streamedAttempt == null;
-        if (open && client == ClientPresence.Status.UNDECIDED) {
+        boolean undecided = client == ClientPresence.Status.UNDECIDED;
+        if (open && undecided && clock.nowUs() < attemptDeadlineUs) {
             attempt.deferred = true;
             guard.recordDeferred();
             return false;
         }
-        if (open && client == ClientPresence.Status.UNKNOWN) {
+        if (open && (undecided || client == ClientPresence.Status.UNKNOWN)) {
             guard.recordClientUnknown();
             endForUnknownClient(exchange, attempt);
             return false;
