--- a/lab/src/main/java/passhatch/lab/pressure/LeavingRun.java
+++ b/lab/src/main/java/passhatch/lab/pressure/LeavingRun.java
@@ -13,8 +13,6 @@
 /** Lets clients of a deployed proxy leave before their responses, and counts the attempts that begin then. */
 public final class LeavingRun {
 
-    /** An attempt may begin so long after its client has left. */
-    static final Duration SLACK = Duration.ofMillis(100);
     private static final int SERVERS = 12;
     private static final Duration SIGNAL_DELAY = Duration.ofMillis(100);
 
@@ -84,7 +82,7 @@
                 signal(run.proxy(), event);
             });
             clients.start();
-            TimeUnit.MILLISECONDS.sleep(DeployedProxy.DEADLINE.plus(SLACK).toMillis());
+            TimeUnit.MILLISECONDS.sleep(DeployedProxy.DEADLINE.plus(PressureRun.LEAVE_SLACK).toMillis());
             return report(plan, event, run, clients);
         }
     }
@@ -101,12 +99,13 @@
 
     private static Report report(Plan plan, Event event, PressureRun run, LeavingClients clients)
             throws IOException, InterruptedException {
+        long slackNs = PressureRun.LEAVE_SLACK.toNanos();
         List<PacedBackends.Arrival> attempts = run.backends().arrivals().stream()
                 .filter(arrival -> clients.afterCloseNs(arrival) != Long.MIN_VALUE).toList();
-        List<Long> lateNs = attempts.stream().map(clients::afterCloseNs).filter(ns -> ns > SLACK.toNanos())
+        List<Long> lateNs = attempts.stream().map(clients::afterCloseNs).filter(ns -> ns > slackNs)
                 .toList();
         long worstNs = lateNs.stream().mapToLong(Long::longValue).max().orElse(0);
-        long begun = attempts.stream().filter(arrival -> clients.afterCloseNs(arrival) <= SLACK.toNanos())
+        long begun = attempts.stream().filter(arrival -> clients.afterCloseNs(arrival) <= slackNs)
                 .map(PacedBackends.Arrival::id).filter(id -> id.contains("-sound"))
                 .distinct().count();
         return new Report(plan + " " + event, attempts.size(), (int) begun, plan.clients() * plan.requests(),
--- a/lab/src/main/java/passhatch/lab/pressure/PressureRun.java
+++ b/lab/src/main/java/passhatch/lab/pressure/PressureRun.java
@@ -38,7 +38,7 @@
     private static final Duration HEAD_START = Duration.ofMillis(500);
 
     /** An attempt may begin so long after its client has left. */
-    private static final Duration LEAVE_SLACK = Duration.ofMillis(100);
+    static final Duration LEAVE_SLACK = Duration.ofMillis(100);
 
     private final Map<String, Long> leftAtNs = new ConcurrentHashMap<>();
     private final PacedBackends backends;
--- a/src/main/java/passhatch/proxy/ClientConnection.java
+++ b/src/main/java/passhatch/proxy/ClientConnection.java
@@ -101,7 +101,8 @@
         this.memory = new MemoryAccount(server.memory().input(), clock, server::reclaimMemory);
         this.reader = new RequestReader(memory);
         this.readAhead = new ReadAheadBuffer(memory);
-        this.input = new InputFlow(channel, clock, transfers, readAhead, memory, server::readingResumed);
+        this.input = new InputFlow(channel, clock, transfers, readAhead, memory, server.lookLease(),
+                server::readingResumed);
         this.decoder = input.decoder();
     }
 
@@ -137,11 +138,6 @@
         return " (client " + channel.remoteAddress() + ", " + describeInput() + ")";
     }
 
-    private ClientSocket.LookRoom roomToLook() {
-        return lastResponseWritten ? ClientSocket.LookRoom.NONE
-                : input.roomToLook(incompleteRequest != null, server.lookLease());
-    }
-
     private String describeInput() {
         return "known present " + presence.ageUs() / 1_000 + " ms ago, " + input.describe();
     }
@@ -157,11 +153,16 @@
     ClientPresence.Status clientStatus() {
         ClientPresence.Status status = presence.status();
         if (status != ClientPresence.Status.UNDECIDED) {
-            input.lookEnded(server.lookLease());
+            input.lookEnded();
         }
         return status;
     }
 
+    private ClientSocket.LookRoom roomToLook() {
+        return lastResponseWritten ? ClientSocket.LookRoom.NONE
+                : input.roomToLook(incompleteRequest != null);
+    }
+
     /** The handlers of the channel's pipeline, from the socket up to and including this one. */
     ChannelHandler[] handlers() {
         return new ChannelHandler[] {new WriteTimeoutHandler(WRITE_TIMEOUT_S), transfers,
--- a/src/main/java/passhatch/proxy/InputFlow.java
+++ b/src/main/java/passhatch/proxy/InputFlow.java
@@ -30,6 +30,7 @@
     private final TransferMonitor transfers;
     private final ReadAheadBuffer readAhead;
     private final MemoryAccount memory;
+    private final LookLease lease;
     private final LongConsumer onPauseEnded;
     private final RequestDecoder decoder = new RequestDecoder(this::undecodedAdded);
     /** Bytes of the account that the decoder's undelivered input takes. */
@@ -38,8 +39,6 @@
     private int partsThisTurn;
     /** Whether reading is paused because there is no room for more input. */
     private boolean readingPaused;
-    /** Whether it may read up to {@link #MAX_LOOK_BYTES} although memory is scarce. */
-    private boolean holdsLease;
     /** Whether reading was paused since all input was read; the client may have more to send at once. */
     private boolean wasPaused;
 
@@ -48,15 +47,17 @@
      *
      * @param readAhead buffers the decoded parts until they are handled
      * @param memory counts what the decoder holds
+     * @param lease held while much of an upload is read although memory is scarce
      * @param onPauseEnded receives how long input was unread, in microseconds, when a pause has ended
      */
     InputFlow(Channel channel, Clock clock, TransferMonitor transfers, ReadAheadBuffer readAhead,
-            MemoryAccount memory, LongConsumer onPauseEnded) {
+            MemoryAccount memory, LookLease lease, LongConsumer onPauseEnded) {
         this.channel = channel;
         this.clock = clock;
         this.transfers = transfers;
         this.readAhead = readAhead;
         this.memory = memory;
+        this.lease = lease;
         this.onPauseEnded = onPauseEnded;
     }
 
@@ -86,9 +87,8 @@
      * Whether input may be read to find a close behind it, also while reading is paused.
      *
      * @param uploading whether a request is incomplete, which cannot be sent before its input is read
-     * @param lease held while much of an upload is read although memory is scarce
      */
-    ClientSocket.LookRoom roomToLook(boolean uploading, LookLease lease) {
+    ClientSocket.LookRoom roomToLook(boolean uploading) {
         if (!readingPaused) {
             return ClientSocket.LookRoom.FREE;
         }
@@ -99,13 +99,12 @@
         if (!uploading || undecodedBytes >= MAX_LOOK_BYTES) {
             return ClientSocket.LookRoom.NONE;
         }
-        holdsLease = (holdsLease || memory.hasRoomForLarge()) && lease.acquire(this);
-        return holdsLease ? ClientSocket.LookRoom.FREE : ClientSocket.LookRoom.LATER;
+        boolean leased = (lease.isHeldBy(this) || memory.hasRoomForLarge()) && lease.acquire(this);
+        return leased ? ClientSocket.LookRoom.FREE : ClientSocket.LookRoom.LATER;
     }
 
     /** Called when the presence of the client has been decided. */
-    void lookEnded(LookLease lease) {
-        holdsLease = false;
+    void lookEnded() {
         lease.release(this);
     }
 
@@ -175,20 +174,14 @@
         int addedBytes = decoder.heldBytes() - undeliveredBytes;
         if (addedBytes <= 0) {
             memory.release(-addedBytes);
-            undeliveredBytes += addedBytes;
-            return true;
-        }
-        if (holdsLease) {
+        } else if (lease.isHeldBy(this)) {
             // Others must not give way to it: it gives the memory back as soon as it is sent.
             memory.hold(addedBytes);
-            undeliveredBytes += addedBytes;
-            return true;
-        }
-        if (memory.reserve(addedBytes)) {
-            undeliveredBytes += addedBytes;
-            return true;
+        } else if (!memory.reserve(addedBytes)) {
+            return !readAhead.isEmpty() || decoder.isPaused();
         }
-        return !readAhead.isEmpty() || decoder.isPaused();
+        undeliveredBytes += addedBytes;
+        return true;
     }
 
     /** Gives back what was counted for the decoder, as its input is not wanted any more. */
--- a/src/main/java/passhatch/proxy/LookLease.java
+++ b/src/main/java/passhatch/proxy/LookLease.java
@@ -29,6 +29,11 @@
         return true;
     }
 
+    /** Whether the candidate was the last to get the lease, and has not ended it. */
+    boolean isHeldBy(Object candidate) {
+        return holder == candidate;
+    }
+
     /** Ends the lease if the candidate holds it. */
     void release(Object candidate) {
         if (holder == candidate) {
--- a/src/test/java/passhatch/proxy/LeavingClientsTest.java
+++ b/src/test/java/passhatch/proxy/LeavingClientsTest.java
@@ -263,10 +263,8 @@
         assertNothingWasSent();
     }
 
-    // Guards against attempts for a client whose close stands behind requests that have not been read yet.
-    @ParameterizedTest
-    @EnumSource
-    void behindMoreRequestsThanAreReadAhead(Disconnect disconnect) throws Exception {
+    /** Starts a proxy whose module holds each request but "last"; returns the module's actions. */
+    private Actions startWithHeldRequests() throws Exception {
         BlockingQueue<Actions> module = new LinkedBlockingQueue<>();
         rig.module((settings, seed, actions) -> {
             module.add(actions);
@@ -279,6 +277,14 @@
                 }
             });
         }).start(Rig.entry("s", backend.address(), "SERVING"));
+        return module.take();
+    }
+
+    // Guards against attempts for a client whose close stands behind requests that have not been read yet.
+    @ParameterizedTest
+    @EnumSource
+    void behindMoreRequestsThanAreReadAhead(Disconnect disconnect) throws Exception {
+        Actions actions = startWithHeldRequests();
         HttpTestConnection client = rig.client();
         StringBuilder requests = new StringBuilder();
         for (int i = 0; i < 600; i++) {
@@ -293,7 +299,6 @@
         }
         disconnect.perform(client);
         rig.advanceClock(100);
-        Actions actions = module.take();
         rig.proxy().submitToLoop(() -> {
             for (int i = 0; i < 4; i++) {
                 actions.send("a" + i, "s", 0);
@@ -311,18 +316,7 @@
      */
     private HttpTestConnection uploadThatWaits(int pieces) throws Exception {
         String piece = "x".repeat(100_000);
-        BlockingQueue<Actions> module = new LinkedBlockingQueue<>();
-        rig.module((settings, seed, actions) -> {
-            module.add(actions);
-            return ScriptedModule.of((method, args) -> {
-                if (args[args.length - 1] instanceof Balancer.Request request) {
-                    receivedIds.add(request.id());
-                    if (request.id().equals("last")) {
-                        actions.send(request.id(), "s", 0);
-                    }
-                }
-            });
-        }).start(Rig.entry("s", backend.address(), "SERVING"));
+        Actions actions = startWithHeldRequests();
         HttpTestConnection client = rig.client();
         CountDownLatch moreThanIsReadAhead = new CountDownLatch(Math.min(pieces / 2, 15));
         Thread writer = new Thread(() -> {
@@ -342,7 +336,6 @@
         moreThanIsReadAhead.await(2, TimeUnit.SECONDS);
         Rig.awaitReady(rig.proxy().address());
         rig.advanceClock(400);
-        Actions actions = module.take();
         rig.proxy().submitToLoop(() -> {
             actions.send("a", "s", 0);
             return null;
--- a/src/test/java/passhatch/proxy/LookLeaseTest.java
+++ b/src/test/java/passhatch/proxy/LookLeaseTest.java
@@ -14,7 +14,9 @@
     @Test
     void oneHolderAtATime() {
         assertTrue(lease.acquire("a"));
+        assertTrue(lease.isHeldBy("a"));
         assertFalse(lease.acquire("b"));
+        assertFalse(lease.isHeldBy("b"));
         lease.release("b");
         assertFalse(lease.acquire("b"));
         assertTrue(lease.acquire("a"));
